[all] Thin whole path as separate processes

Three control hosts with a replicated log of their own, agents, an entry and stand-in engines serve streamed requests end to end; scripts/demo rolls a version out, withdraws one, kills an engine and checks that the report has each request once. Found on the way: a 421 answer makes libsoup clients resend a request without its body, so a control host that does not lead answers 503.

--- /dev/null
+++ b/modules/admission/include/hickorypost/admission/rate_limiter.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hickorypost/base/time.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace hickorypost::admission {
+
+struct account_limits {
+    double rate_per_s = 0; ///< 0: no limit
+    double burst = 0;
+    std::uint32_t max_in_flight = 0; ///< 0: no limit
+};
+
+struct limit_answer {
+    bool admitted = true;
+    millis retry_after{0};
+};
+
+/// Token bucket and concurrency limit per client account, at an entry host. Sans I/O.
+class rate_limiter {
+public:
+    /// Takes one request's token and place; the caller must call `done` if it was admitted.
+    limit_answer admit(std::string_view account, const account_limits& limits, instant now);
+    void done(std::string_view account);
+    [[nodiscard]] std::uint32_t in_flight(std::string_view account) const;
+
+private:
+    struct bucket {
+        double tokens = 0;
+        instant filled;
+        std::uint32_t in_flight = 0;
+        bool known = false;
+    };
+    std::map<std::string, bucket, std::less<>> buckets_;
+};
+
+} // namespace hickorypost::admission
--- /dev/null
+++ b/modules/base/src/time.cpp
@@ -0,0 +1,44 @@
+#include "hickorypost/base/time.h"
+
+#include <memory>
+#include <random>
+
+namespace hickorypost {
+
+clock_fn system_clock_fn()
+{
+    return [] {
+        const auto since = std::chrono::steady_clock::now().time_since_epoch();
+        return instant{std::chrono::duration_cast<micros>(since)};
+    };
+}
+
+wall_clock_fn system_wall_clock_fn()
+{
+    return [] {
+        const auto since = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<millis>(since).count();
+    };
+}
+
+random_fn system_random_fn()
+{
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device()) << 32U;
+    return seeded_random_fn(high | device());
+}
+
+random_fn seeded_random_fn(std::uint64_t seed)
+{
+    auto engine = std::make_shared<std::mt19937_64>(seed);
+    return [engine] { return (*engine)(); };
+}
+
+double unit_random(const random_fn& random)
+{
+    constexpr double scale =
+        1.0 / 9007199254740992.0; // 2^53: the doubles below 1 that are evenly spaced
+    return static_cast<double>(random() >> 11U) * scale;
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/modules/net/include/hickorypost/net/listener.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "hickorypost/net/connector.h"
+
+#include <set>
+
+namespace hickorypost::net {
+
+/// An address could not be listened on.
+struct listen_error {
+    std::string address;
+    std::string detail;
+};
+
+/// Accepts links from other processes.
+class listener {
+public:
+    /// Port 0 picks a free one; fails with `listen_error`.
+    static result<std::unique_ptr<listener>> open(const peer_address& address, wire::hello self,
+                                                  const tls_identity* tls, link_options options,
+                                                  link_hooks hooks);
+    ~listener();
+    listener(const listener&) = delete;
+    listener& operator=(const listener&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+
+private:
+    listener(wire::hello self, const tls_identity* tls, link_options options, link_hooks hooks);
+    void accept(gobject_ptr<GIOStream> stream);
+    void secure(GSocketConnection* connection);
+    static gboolean on_incoming(GSocketService* service, GSocketConnection* connection,
+                                GObject* source, gpointer data);
+
+    wire::hello self_;
+    const tls_identity* tls_;
+    link_options options_;
+    link_hooks hooks_;
+    gobject_ptr<GSocketService> service_;
+    gobject_ptr<GCancellable> cancellable_;
+    std::set<std::shared_ptr<link>> links_;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace hickorypost::net
--- /dev/null
+++ b/modules/replog/include/hickorypost/replog/group.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "hickorypost/replog/replica.h"
+#include "hickorypost/replog/state_machine.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace hickorypost::replog {
+
+enum class group_status : std::uint8_t { done, not_leader, unavailable };
+
+struct group_answer {
+    group_status status = group_status::done;
+    node_id leader;
+    std::string result;
+};
+
+/// How a group reaches its surroundings.
+struct group_hooks {
+    std::function<void(const node_id& to, const message&)> send;
+    std::function<void(persist_batch)> persist;
+    /// Called after each committed command was applied.
+    std::function<void(const entry&)> applied;
+};
+
+struct group_options {
+    /// Commands applied between two snapshots of the state.
+    std::uint64_t snapshot_every = 20'000;
+};
+
+/// A replica with its state machine: proposals in, answers out. Sans I/O.
+class group {
+public:
+    using answer_fn = std::function<void(const group_answer&)>;
+
+    group(std::unique_ptr<replica> core, std::unique_ptr<state_machine> machine, group_hooks hooks,
+          group_options options);
+
+    void tick(instant now);
+    void receive(const message& msg, instant now);
+    void persisted(std::uint64_t ticket, instant now);
+
+    /// `done` is called once: with the state machine's answer when the command has committed, or
+    /// with why it could not be taken. `unavailable` leaves the command's fate unknown.
+    void propose(std::string command, std::int64_t wall_ms, instant now, answer_fn done);
+    /// Linearizable: only the leader under a valid lease answers.
+    void read(std::string_view query, instant now, const answer_fn& done);
+    void hand_over(instant now);
+
+    [[nodiscard]] bool leads(instant now) const { return core_->lease_valid(now); }
+    [[nodiscard]] std::uint64_t applied_index() const noexcept { return applied_; }
+    [[nodiscard]] const replica& core() const noexcept { return *core_; }
+    [[nodiscard]] const state_machine& machine() const noexcept { return *machine_; }
+    [[nodiscard]] state_machine& machine() noexcept { return *machine_; }
+
+private:
+    struct pending_proposal {
+        std::uint64_t term = 0;
+        answer_fn done;
+    };
+
+    void pump();
+    void apply(const entry& it);
+    void fail_pending();
+
+    std::unique_ptr<replica> core_;
+    std::unique_ptr<state_machine> machine_;
+    group_hooks hooks_;
+    group_options options_;
+    std::unordered_map<std::uint64_t, pending_proposal> pending_;
+    std::uint64_t applied_ = 0;
+    std::uint64_t snapshot_index_ = 0;
+    bool pumping_ = false;
+};
+
+} // namespace hickorypost::replog
--- /dev/null
+++ b/modules/replog/include/hickorypost/replog/replica_store.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hickorypost/replog/types.h"
+#include "hickorypost/storage/journal.h"
+
+#include <memory>
+
+namespace hickorypost::replog {
+
+/// A replica's disk: identity, hard state, log entries and the last snapshot.
+///
+/// Used by one thread. Errors are `storage::storage_error`; after one, the process must restart.
+class replica_store {
+public:
+    /// Opens or creates the files that begin with `prefix`; a new disk draws a new identity.
+    static result<std::unique_ptr<replica_store>> open(storage::file_system& fs, std::string prefix,
+                                                       node_id self, const random_fn& random);
+
+    /// What the disk held when it was opened; call once.
+    recovered_state take_recovered() { return std::move(recovered_); }
+
+    /// Writes a batch; it lasts after the next `sync`.
+    result<void> append(const persist_batch& batch);
+    result<void> sync();
+
+private:
+    replica_store(storage::file_system& fs, std::string prefix);
+    result<void> load_identity(node_id self, const random_fn& random);
+    result<void> load_snapshot();
+    result<void> load_journal();
+    void replay(std::string_view payload);
+
+    storage::file_system* fs_;
+    std::string prefix_;
+    recovered_state recovered_;
+    hard_state hard_; ///< the newest written; repeated at the start of each journal segment
+    std::optional<storage::journal> journal_;
+};
+
+} // namespace hickorypost::replog
--- /dev/null
+++ b/modules/replog/src/replica_membership.cpp
@@ -0,0 +1,146 @@
+/// Founding of a group, and replacement of members one change at a time.
+
+#include "hickorypost/replog/replica.h"
+#include "hickorypost/wire/codec.h"
+
+#include <algorithm>
+
+namespace hickorypost::replog {
+
+void replica::handle_probe(const message& msg, instant now)
+{
+    auto reply = make(message_kind::probe_reply);
+    reply.granted = role_ == replica_role::fresh;
+    send_now(msg.from.node, reply);
+    if (role_ == replica_role::fresh) {
+        fresh_disks_[msg.from.node] = msg.from;
+        return;
+    }
+    if (!msg.granted) {
+        return;
+    }
+    // The asker's disk is fresh. If the founding configuration names this very disk, the founder's
+    // offer was lost: repeat it. Any other fresh disk has to come in as a learner.
+    if (base_ && base_->index == 0 && is_voter(msg.from) && base_->config == config_) {
+        auto offer = make(message_kind::found);
+        offer.config = base_->config;
+        send_now(msg.from.node, offer);
+        return;
+    }
+    fresh_disks_[msg.from.node] = msg.from;
+    if (role_ == replica_role::leader) {
+        consider_membership(now);
+    }
+}
+
+void replica::handle_probe_reply(const message& msg, instant now)
+{
+    if (role_ != replica_role::fresh) {
+        return;
+    }
+    if (!msg.granted) {
+        fresh_disks_.erase(msg.from.node);
+        return;
+    }
+    fresh_disks_[msg.from.node] = msg.from;
+    try_found(now);
+}
+
+void replica::try_found(instant now)
+{
+    if (role_ != replica_role::fresh || founders_.empty() || founders_.front() != self_.node) {
+        return;
+    }
+    // Only when every founding host shows a fresh disk can no earlier group exist: a host that lost
+    // its disk would otherwise found a second group beside the one that still remembers.
+    group_config config;
+    for (const auto& it : founders_) {
+        if (it == self_.node) {
+            config.voters.push_back(self_);
+        } else if (const auto seen = fresh_disks_.find(it); seen != fresh_disks_.end()) {
+            config.voters.push_back(seen->second);
+        } else {
+            return;
+        }
+    }
+    auto offer = make(message_kind::found);
+    offer.config = config;
+    handle_found(offer, now);
+    for (const auto& it : founders_) {
+        if (it != self_.node) {
+            send_after_persist(it, offer);
+        }
+    }
+}
+
+void replica::handle_found(const message& msg, instant now)
+{
+    const bool names_us =
+        msg.config && std::find(msg.config->voters.begin(), msg.config->voters.end(), self_) !=
+                          msg.config->voters.end();
+    if (role_ != replica_role::fresh || !names_us) {
+        return;
+    }
+    base_ = snapshot{0, 0, *msg.config, {}};
+    recompute_config();
+    role_ = replica_role::follower;
+    open_batch().base = base_;
+    save_hard();
+    reset_election_timer(now);
+}
+
+void replica::propose_config(group_config config, instant now)
+{
+    const std::uint64_t index = last_index() + 1;
+    append_entry({index, hard_.term, entry_kind::config, 0, wire::encode(config)});
+    rebuild_progress(now);
+    broadcast(now, false);
+}
+
+void replica::consider_membership(instant now)
+{
+    // One change at a time: two overlapping changes could form quorums that do not meet.
+    if (config_index_ > commit_ || commit_ < term_start_index_) {
+        return;
+    }
+    const auto listed = [&](const node_id& node) {
+        return std::find(founders_.begin(), founders_.end(), node) != founders_.end() ||
+               extra_contacts_.contains(node);
+    };
+    for (const auto& [node, disk] : fresh_disks_) {
+        if (is_voter(disk) || is_learner(disk) || !listed(node)) {
+            continue;
+        }
+        group_config next = config_;
+        std::erase_if(next.learners, [&](const member& it) { return it.node == node; });
+        next.learners.push_back(disk);
+        return propose_config(std::move(next), now);
+    }
+    for (const auto& learner : config_.learners) {
+        const auto peer = peers_.find(learner);
+        const bool caught_up = peer != peers_.end() && peer->second.match >= commit_ &&
+                               peer->second.match > 0 &&
+                               now < peer->second.last_answer + options_.election_min;
+        if (!caught_up) {
+            continue;
+        }
+        group_config next = config_;
+        // First the dead disk goes, then the new one votes: in between the same hosts are needed
+        // as before, and no change replaces a voter in one step.
+        const auto stale =
+            std::find_if(next.voters.begin(), next.voters.end(), [&](const auto& it) {
+                return it != self_ && (it.node == learner.node || !listed(it.node));
+            });
+        if (stale != next.voters.end()) {
+            next.voters.erase(stale);
+        } else if (next.voters.size() < founders_.size()) {
+            std::erase(next.learners, learner);
+            next.voters.push_back(learner);
+        } else {
+            continue;
+        }
+        return propose_config(std::move(next), now);
+    }
+}
+
+} // namespace hickorypost::replog
--- /dev/null
+++ b/modules/replog/src/replica_store.cpp
@@ -0,0 +1,158 @@
+#include "hickorypost/replog/replica_store.h"
+
+#include "hickorypost/wire/codec.h"
+
+#include <algorithm>
+
+namespace hickorypost::replog {
+
+namespace {
+
+struct identity_file {
+    std::uint64_t disk = 0;
+};
+
+struct snapshot_file {
+    std::uint64_t checksum = 0;
+    std::string body; ///< encoded `snapshot`
+};
+
+/// One journal record: whatever a batch changed.
+struct journal_item {
+    std::optional<hard_state> hard;
+    bool reset_log = false;
+    std::vector<entry> entries;
+};
+
+result<bool> exists(storage::file_system& fs, std::string_view name)
+{
+    BOOST_LEAF_AUTO(names, fs.list());
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+leaf::error_id damaged(const std::string& name, std::string detail)
+{
+    return leaf::new_error(
+        storage::storage_error{storage::storage_fault::damaged, name, std::move(detail)});
+}
+
+} // namespace
+
+replica_store::replica_store(storage::file_system& fs, std::string prefix)
+    : fs_{&fs}, prefix_{std::move(prefix)}
+{
+}
+
+result<std::unique_ptr<replica_store>> replica_store::open(storage::file_system& fs,
+                                                           std::string prefix, node_id self,
+                                                           const random_fn& random)
+{
+    std::unique_ptr<replica_store> out{new replica_store{fs, std::move(prefix)}};
+    BOOST_LEAF_CHECK(out->load_identity(std::move(self), random));
+    BOOST_LEAF_CHECK(out->load_snapshot());
+    BOOST_LEAF_CHECK(out->load_journal());
+    out->recovered_.hard = out->hard_;
+    return out;
+}
+
+result<void> replica_store::load_identity(node_id self, const random_fn& random)
+{
+    const std::string name = prefix_ + "identity";
+    recovered_.self.node = std::move(self);
+    BOOST_LEAF_AUTO(known, exists(*fs_, name));
+    if (!known) {
+        recovered_.self.disk = random();
+        return storage::replace_file(*fs_, name, wire::encode(identity_file{recovered_.self.disk}));
+    }
+    BOOST_LEAF_AUTO(bytes, fs_->read_file(name));
+    const auto file = wire::try_decode<identity_file>(bytes);
+    if (!file) {
+        return damaged(name, "not an identity");
+    }
+    recovered_.self.disk = file->disk;
+    return {};
+}
+
+result<void> replica_store::load_snapshot()
+{
+    const std::string name = prefix_ + "snapshot";
+    BOOST_LEAF_AUTO(known, exists(*fs_, name));
+    if (!known) {
+        return {};
+    }
+    BOOST_LEAF_AUTO(bytes, fs_->read_file(name));
+    const auto file = wire::try_decode<snapshot_file>(bytes);
+    if (!file || hash_bytes(file->body) != file->checksum) {
+        return damaged(name, "checksum does not match");
+    }
+    recovered_.base = wire::try_decode<snapshot>(file->body);
+    if (!recovered_.base) {
+        return damaged(name, "not a snapshot");
+    }
+    return {};
+}
+
+result<void> replica_store::load_journal()
+{
+    storage::journal_options options;
+    options.prefix = prefix_ + "log-";
+    auto opened = storage::journal::open(
+        *fs_, std::move(options),
+        [this] {
+            return wire::encode(journal_item{hard_, false, {}});
+        },
+        [this](std::uint64_t, std::string_view payload) { replay(payload); });
+    BOOST_LEAF_AUTO(journal, std::move(opened));
+    journal_.emplace(std::move(journal));
+    return {};
+}
+
+void replica_store::replay(std::string_view payload)
+{
+    auto item = wire::try_decode<journal_item>(payload);
+    if (!item) {
+        return; // the checksum held, so this is a record kind of a later release without entries
+    }
+    if (item->hard) {
+        hard_ = *item->hard;
+    }
+    auto& entries = recovered_.entries;
+    if (item->reset_log) {
+        entries.clear();
+    }
+    for (auto& it : item->entries) {
+        while (!entries.empty() && entries.back().index >= it.index) {
+            entries.pop_back();
+        }
+        entries.push_back(std::move(it));
+    }
+}
+
+result<void> replica_store::append(const persist_batch& batch)
+{
+    if (batch.base) {
+        snapshot_file file;
+        file.body = wire::encode(*batch.base);
+        file.checksum = hash_bytes(file.body);
+        BOOST_LEAF_CHECK(storage::replace_file(*fs_, prefix_ + "snapshot", wire::encode(file)));
+    }
+    if (batch.hard) {
+        hard_ = *batch.hard;
+    }
+    if (batch.hard || batch.reset_log || !batch.entries.empty()) {
+        const std::uint64_t tag = batch.entries.empty() ? 0 : batch.entries.back().index;
+        const journal_item item{batch.hard, batch.reset_log, batch.entries};
+        BOOST_LEAF_CHECK(journal_->append(tag, wire::encode(item)));
+    }
+    if (batch.base) {
+        return journal_->drop_through(batch.base->index);
+    }
+    return {};
+}
+
+result<void> replica_store::sync()
+{
+    return journal_->sync();
+}
+
+} // namespace hickorypost::replog
--- /dev/null
+++ b/modules/rollout/src/exposure_book.cpp
@@ -0,0 +1,88 @@
+#include "hickorypost/rollout/exposure_book.h"
+
+namespace hickorypost::rollout {
+
+bool exposure_book::take(const model_version& candidate, instant now)
+{
+    const auto it = leases_.find(candidate);
+    if (it == leases_.end() || it->second.answers == 0 || now >= it->second.lapses ||
+        unit_random(random_) >= it->second.share) {
+        return false;
+    }
+    --it->second.answers;
+    return true;
+}
+
+void exposure_book::give_back(const model_version& candidate)
+{
+    if (const auto it = leases_.find(candidate); it != leases_.end()) {
+        ++it->second.answers;
+    }
+}
+
+wire::version_evidence& exposure_book::evidence_of(const model_version& version)
+{
+    auto& it = evidence_[version];
+    it.version = version;
+    return it;
+}
+
+void exposure_book::saw_answer(const model_version& version, bool error, bool slow)
+{
+    auto& it = evidence_of(version);
+    ++it.answers;
+    it.errors += error ? 1U : 0U;
+    it.slow += slow && !error ? 1U : 0U;
+}
+
+void exposure_book::saw_rating(const model_version& version, bool good)
+{
+    auto& it = evidence_of(version);
+    ++(good ? it.rated_good : it.rated_bad);
+}
+
+std::optional<wire::exposure_request> exposure_book::due(instant now)
+{
+    if (sent_) {
+        if (now < sent_at_ + options_.resend_after) {
+            return std::nullopt;
+        }
+        sent_at_ = now;
+        return sent_;
+    }
+    if (now < sent_at_ + options_.report_period) {
+        return std::nullopt;
+    }
+    wire::exposure_request out;
+    out.sequence = ++sequence_;
+    for (const auto& [version, it] : evidence_) {
+        out.evidence.push_back(it);
+    }
+    evidence_.clear();
+    sent_ = out;
+    sent_at_ = now;
+    return out;
+}
+
+void exposure_book::take_grant(const wire::exposure_grant& grant, instant now)
+{
+    if (!sent_ || grant.sequence != sent_->sequence) {
+        return; // the answer to a request that was answered before
+    }
+    sent_.reset();
+    // What is left of earlier grants is kept: the controller still counts it against us.
+    std::map<model_version, lease> next;
+    for (const auto& it : grant.leases) {
+        lease& to = next[it.version];
+        to.answers = it.answers;
+        to.share = it.share;
+        to.lapses = now + options_.grant_lifetime;
+        if (const auto old = leases_.find(it.version);
+            old != leases_.end() && now < old->second.lapses) {
+            to.answers += old->second.answers;
+        }
+    }
+    leases_ = std::move(next);
+}
+
+} // namespace hickorypost::rollout
--- /dev/null
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -0,0 +1,326 @@
+#pragma once
+/// Messages between the system's processes. Fields are only ever appended (see codec.h).
+///
+/// Durations are microseconds in `_us` fields and milliseconds in `_ms` fields; ages and remaining
+/// times are sent instead of instants, because monotonic clocks of two hosts cannot be compared.
+
+#include "hickorypost/base/ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickorypost::wire {
+
+enum class message_type : std::uint16_t {
+    hello = 1,
+    heartbeat = 2,
+    replog = 10,
+    propose = 11,
+    propose_reply = 12,
+    read = 13,
+    read_reply = 14,
+    fresh_query = 20,
+    fresh_reply = 21,
+    fresh_poke = 22,
+    announce = 30,
+    directory_query = 31,
+    directory_reply = 32,
+    exposure_request = 33,
+    exposure_grant = 34,
+    start = 40,
+    refused = 41,
+    piece = 42,
+    finished = 43,
+    cancel = 44,
+    resume = 45,
+    unknown_attempt = 46,
+    settled = 47,
+    load = 48,
+};
+
+inline constexpr std::uint32_t protocol_oldest = 1;
+inline constexpr std::uint32_t protocol_newest = 1;
+
+enum class node_role : std::uint8_t { entry, agent, control };
+
+/// First message on a link, both ways.
+struct hello {
+    static constexpr auto type = message_type::hello;
+    std::uint32_t oldest = protocol_oldest;
+    std::uint32_t newest = protocol_newest;
+    node_role role = node_role::entry;
+    node_id node;
+    incarnation life = 0;
+    std::string failure_domain;
+    std::uint32_t ledger_groups = 0; ///< control hosts only
+};
+
+struct heartbeat {
+    static constexpr auto type = message_type::heartbeat;
+    std::uint64_t sequence = 0;
+};
+
+/// A message of one replicated-log group between two control hosts.
+struct replog_envelope {
+    static constexpr auto type = message_type::replog;
+    std::uint32_t group = 0;
+    std::string payload;
+};
+
+enum class reply_status : std::uint8_t {
+    done,
+    not_leader,  ///< ask `leader`, or another host if it is empty
+    unavailable, ///< no quorum just now; nothing is known of the change's fate
+};
+
+/// Asks a control host to commit a command in a group.
+struct propose {
+    static constexpr auto type = message_type::propose;
+    std::uint64_t id = 0;
+    std::uint32_t group = 0;
+    std::string command;
+};
+
+struct propose_reply {
+    static constexpr auto type = message_type::propose_reply;
+    std::uint64_t id = 0;
+    reply_status status = reply_status::done;
+    node_id leader;
+    std::string result;
+};
+
+/// A linearizable read answered by a group's leader under its lease.
+struct read_request {
+    static constexpr auto type = message_type::read;
+    std::uint64_t id = 0;
+    std::uint32_t group = 0;
+    std::string query;
+};
+
+struct read_reply {
+    static constexpr auto type = message_type::read_reply;
+    std::uint64_t id = 0;
+    reply_status status = reply_status::done;
+    node_id leader;
+    std::string result;
+};
+
+/// Asks for a freshness mark and for the record changes after `have_index`.
+struct fresh_query {
+    static constexpr auto type = message_type::fresh_query;
+    std::uint64_t id = 0;
+    std::uint64_t have_index = 0;
+};
+
+struct record_entry {
+    std::uint64_t index = 0;
+    std::string command;
+};
+
+/// "`age_us` before this was sent, `index` was the newest committed record change."
+struct fresh_reply {
+    static constexpr auto type = message_type::fresh_reply;
+    std::uint64_t id = 0;
+    bool valid = false; ///< false: the sender holds no usable mark itself
+    std::uint64_t index = 0;
+    std::uint64_t age_us = 0;
+    std::vector<record_entry> changes;
+    std::string snapshot; ///< encoded records state at `snapshot_index`, when changes are not kept
+    std::uint64_t snapshot_index = 0;
+};
+
+/// Pushed when records change, so that nodes ask at once rather than at their next turn.
+struct fresh_poke {
+    static constexpr auto type = message_type::fresh_poke;
+    std::uint64_t index = 0;
+};
+
+enum class backend_kind : std::uint8_t { engine, service };
+
+/// A backend server as it announced itself to its agent.
+struct backend_info {
+    std::string name;
+    backend_kind kind = backend_kind::engine;
+    std::vector<model_version>
+        offers;                ///< engines: models served; services: one entry, model = service
+    std::uint32_t slots = 1;   ///< requests that it runs at once
+    bool checks_fence = false; ///< refuses orders with an old fencing number itself
+    bool leaving = false;
+};
+
+/// An agent with its backend servers. A higher (life, sequence) replaces a lower one.
+struct agent_info {
+    node_id node;
+    incarnation life = 0;
+    std::uint64_t sequence = 0;
+    std::string address;
+    std::uint16_t port = 0;
+    std::string failure_domain;
+    bool leaving = false;
+    std::vector<backend_info> backends;
+};
+
+struct announce {
+    static constexpr auto type = message_type::announce;
+    agent_info agent;
+};
+
+struct directory_query {
+    static constexpr auto type = message_type::directory_query;
+    std::uint64_t epoch = 0; ///< the control host's life that `version` counts in
+    std::uint64_t version = 0;
+};
+
+struct directory_reply {
+    static constexpr auto type = message_type::directory_reply;
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    bool whole = false; ///< agents not listed are gone
+    std::vector<agent_info> changed;
+    std::vector<node_id> removed;
+};
+
+/// What an entry saw of one version since its last report, for the roll-out's tests.
+struct version_evidence {
+    model_version version;
+    std::uint64_t answers = 0;
+    std::uint64_t errors = 0;
+    std::uint64_t slow = 0; ///< answers slower than the record's limit
+    std::uint64_t rated_good = 0;
+    std::uint64_t rated_bad = 0;
+};
+
+/// Reports evidence and asks for leave to start more answers on candidate versions.
+struct exposure_request {
+    static constexpr auto type = message_type::exposure_request;
+    std::uint64_t sequence = 0; ///< resent evidence carries the same number and counts once
+    std::vector<version_evidence> evidence;
+};
+
+struct exposure_lease {
+    model_version version;
+    std::uint64_t answers = 0; ///< how many more answers the entry may start
+    double share = 0;          ///< of the model's traffic that should try the candidate
+};
+
+struct exposure_grant {
+    static constexpr auto type = message_type::exposure_grant;
+    std::uint64_t sequence = 0;
+    std::vector<exposure_lease> leases;
+};
+
+enum class priority : std::uint8_t { interactive, normal, bulk };
+
+/// Asks an agent to run one attempt of a request on one of its backend servers.
+struct start {
+    static constexpr auto type = message_type::start;
+    attempt_id attempt = 0;
+    incarnation agent_life = 0; ///< an agent with another life refuses: it may have run this before
+    request_key key;
+    model_version target;
+    std::string backend;
+    std::string session;
+    bool non_idempotent = false;
+    bool stream = false;
+    priority urgency = priority::normal;
+    std::uint64_t remaining_us = 0; ///< until the caller's deadline
+    std::uint64_t records_index = 0;
+    std::string method; ///< services only
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::string traceparent;
+    std::uint32_t weight = 1; ///< the account's share in the agent's queue
+};
+
+enum class refusal : std::uint8_t {
+    wrong_life,
+    not_fresh,
+    not_permitted,
+    withdrawn,
+    no_backend,
+    leaving,
+    overloaded,
+    deadline,
+    tombstoned,
+    cancelled,
+};
+
+/// The attempt did not start and never will.
+struct refused {
+    static constexpr auto type = message_type::refused;
+    attempt_id attempt = 0;
+    refusal reason = refusal::overloaded;
+    std::uint64_t retry_after_ms = 0;
+};
+
+/// Bytes of the answer from `offset` on.
+struct piece {
+    static constexpr auto type = message_type::piece;
+    attempt_id attempt = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+    std::uint32_t http_status = 0; ///< of the backend server's answer
+    std::string content_type;      ///< only where `offset` is 0
+};
+
+enum class run_outcome : std::uint8_t { complete, engine_error, cancelled, deadline, lost };
+
+struct usage {
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t cached_tokens = 0;
+    std::uint64_t completion_tokens = 0;
+};
+
+/// The attempt ran and is over; `bytes` is the whole answer's length.
+struct finished {
+    static constexpr auto type = message_type::finished;
+    attempt_id attempt = 0;
+    run_outcome outcome = run_outcome::complete;
+    std::uint32_t http_status = 0;
+    std::string content_type;
+    std::uint64_t bytes = 0;
+    usage used;
+    std::uint64_t queued_us = 0;
+    std::uint64_t ran_us = 0;
+    std::uint32_t running = 0; ///< load of the backend server after this attempt
+    std::uint32_t queued = 0;
+};
+
+struct cancel {
+    static constexpr auto type = message_type::cancel;
+    attempt_id attempt = 0;
+};
+
+/// After a lost connection: send the answer again from `offset`, or say that the attempt is
+/// unknown.
+struct resume {
+    static constexpr auto type = message_type::resume;
+    attempt_id attempt = 0;
+    incarnation agent_life = 0;
+    std::uint64_t offset = 0;
+};
+
+/// The agent never saw the attempt in this life and will refuse it from now on (a tombstone).
+struct unknown_attempt {
+    static constexpr auto type = message_type::unknown_attempt;
+    attempt_id attempt = 0;
+    bool same_life = false; ///< true: it surely did not run; false: an earlier life may have run it
+};
+
+/// The usage is durable and the answer delivered; the agent may forget the attempt.
+struct settled {
+    static constexpr auto type = message_type::settled;
+    attempt_id attempt = 0;
+};
+
+struct load {
+    static constexpr auto type = message_type::load;
+    std::string backend;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
+} // namespace hickorypost::wire
--- /dev/null
+++ b/src/caller_request.cpp
@@ -0,0 +1,497 @@
+#include "caller_request.h"
+
+#include "billing.h"
+#include "hickorypost/ledger/ledger_state.h"
+#include "secret.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace hickorypost {
+
+namespace {
+
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::string_view services_prefix = "/services/";
+constexpr std::size_t max_key_bytes = 256;
+constexpr std::size_t prefix_bytes = 512;
+constexpr millis not_fresh_retry{500};
+constexpr millis unavailable_retry{1000};
+
+/// A number of milliseconds in a header; nothing if it is not one.
+std::optional<millis> parse_millis(std::string_view text)
+{
+    if (text.empty() || text.size() > 9 ||
+        text.find_first_not_of("0123456789") != std::string_view::npos) {
+        return std::nullopt;
+    }
+    return millis{std::strtoll(std::string{text}.c_str(), nullptr, 10)};
+}
+
+bool is_true(std::string_view text)
+{
+    return text == "true" || text == "1" || text == "yes";
+}
+
+} // namespace
+
+caller_request::caller_request(entry_services& services, std::shared_ptr<http_exchange> exchange,
+                               std::function<void()> on_over)
+    : services_{services}, exchange_{std::move(exchange)}, on_over_{std::move(on_over)},
+      arrived_{services.env.now()}
+{
+}
+
+caller_request::~caller_request() = default;
+
+void caller_request::begin()
+{
+    const auto self = shared_from_this();
+    exchange_->on_gone([weak = weak_from_this()] {
+        if (const auto it = weak.lock()) {
+            it->on_caller_gone();
+        }
+    });
+    if (!read_headers() || !identify()) {
+        return;
+    }
+    const bool read = service_ ? read_service_path() : read_chat_body();
+    if (!read || !admit() || !resolve()) {
+        return;
+    }
+    deadline_timer_ =
+        net::timer::once(std::chrono::ceil<millis>(remaining()), [self] { self->on_deadline(); });
+    bind_session();
+}
+
+bool caller_request::read_headers()
+{
+    const auto& env = services_.env;
+    fact_.started_wall_ms = env.wall();
+    const auto parent = telemetry::trace_context::parse(exchange_->header("traceparent"));
+    trace_ = parent ? parent->child(env.random) : telemetry::trace_context::make_new(env.random);
+    parent_span_ = parent ? parent->span_id : std::string{};
+    const auto key = exchange_->header("Idempotency-Key");
+    fact_.key.request = key.empty() ? random_hex(env.random) : std::string{key};
+    service_ = exchange_->path().starts_with(services_prefix);
+    non_idempotent_ = is_true(exchange_->header("Hickorypost-Non-Idempotent"));
+    session_ = exchange_->header("Hickorypost-Session");
+    task_ = exchange_->header("Hickorypost-Task");
+    const auto timeout_text = exchange_->header("Hickorypost-Timeout-Ms");
+    const auto timeout =
+        timeout_text.empty() ? services_.config.default_timeout : parse_millis(timeout_text);
+    deadline_ = arrived_ + timeout.value_or(millis{0});
+    if (key.size() > max_key_bytes || session_.size() > max_key_bytes) {
+        fail(400, "bad_header", "Idempotency-Key and Hickorypost-Session hold at most 256 bytes",
+             told_outcome::not_run);
+        return false;
+    }
+    if (!timeout || *timeout <= millis{0}) {
+        fail(400, "bad_header", "Hickorypost-Timeout-Ms: expected a whole number of milliseconds",
+             told_outcome::not_run);
+        return false;
+    }
+    return true;
+}
+
+bool caller_request::identify()
+{
+    if (!services_.control.fresh()) {
+        // Without a fresh mark this entry may not know of a withdrawal that is in force elsewhere.
+        fail(503, "not_fresh", "this entry has lost touch with the control hosts",
+             told_outcome::not_run, not_fresh_retry);
+        return false;
+    }
+    const auto key = bearer_key(exchange_->header("Authorization"));
+    const auto* account = services_.control.records().state().account_by_key_hash(sha256_hex(key));
+    if (key.empty() || account == nullptr) {
+        fail(401, "unknown_account", "expected Authorization: Bearer with a client account's key",
+             told_outcome::not_run);
+        return false;
+    }
+    fact_.key.account = account->name;
+    return true;
+}
+
+bool caller_request::read_chat_body()
+{
+    if (exchange_->path() != chat_path) {
+        fail(404, "not_found", "no such resource", told_outcome::not_run);
+        return false;
+    }
+    if (exchange_->method() != "POST") {
+        fail(405, "bad_method", "expected POST", told_outcome::not_run);
+        return false;
+    }
+    body_ = exchange_->body();
+    const auto json = nlohmann::json::parse(body_, nullptr, false);
+    if (!json.is_object() || !json.contains("model") || !json["model"].is_string()) {
+        fail(400, "bad_json", "body: expected a JSON object with the key model (a string)",
+             told_outcome::not_run);
+        return false;
+    }
+    if (json.contains("stream") && !json["stream"].is_boolean()) {
+        fail(400, "bad_json", "body: stream: expected true or false", told_outcome::not_run);
+        return false;
+    }
+    model_name_ = json["model"].get<std::string>();
+    stream_ = json.value("stream", false);
+    const auto messages = body_.find("\"messages\"");
+    prefix_ = hash_bytes(session_.empty()
+                             ? std::string_view{body_}.substr(
+                                   messages == std::string::npos ? 0 : messages, prefix_bytes)
+                             : std::string_view{session_});
+    return true;
+}
+
+bool caller_request::read_service_path()
+{
+    const std::string path = exchange_->path().substr(services_prefix.size());
+    const auto slash = path.find('/');
+    model_name_ = path.substr(0, slash);
+    service_path_ = slash == std::string::npos ? "/" : path.substr(slash);
+    method_ = exchange_->method();
+    body_ = exchange_->body();
+    return true;
+}
+
+bool caller_request::admit()
+{
+    const auto* account = services_.control.records().state().account(fact_.key.account);
+    const auto answer = services_.limiter.admit(
+        account->name, {account->rate_per_s, account->burst, account->max_in_flight}, arrived_);
+    if (!answer.admitted) {
+        fail(429, "rate_limited", "the account's rate or concurrency limit is reached",
+             told_outcome::not_run, answer.retry_after);
+        return false;
+    }
+    admitted_ = true;
+    return true;
+}
+
+bool caller_request::resolve()
+{
+    const auto& records = services_.control.records().state();
+    if (service_) {
+        const auto verdict = records.check_service(fact_.key.account, model_name_);
+        if (verdict != records::verdict::allowed) {
+            fail(verdict == records::verdict::unknown_version ? 404 : 403, "forbidden_service",
+                 "the account may not use this service", told_outcome::not_run);
+            return false;
+        }
+        non_idempotent_ = non_idempotent_ || !records.service(model_name_)->repeatable;
+        stages_ = {{model_name_, {}}};
+        return true;
+    }
+    if (const auto* cascade = records.cascade(model_name_); cascade != nullptr) {
+        cascade_ = true;
+        fact_.cascade = cascade->name;
+        accept_rating_ = cascade->accept_rating;
+        for (auto stage : cascade->stages) {
+            if (stage.version.empty()) {
+                stage.version = records.current_version(stage.model);
+            }
+            if (records.check(fact_.key.account, stage) == records::verdict::allowed) {
+                stages_.push_back(std::move(stage));
+            }
+        }
+        if (stages_.empty()) {
+            fail(403, "forbidden_model", "the account may use no stage of this cascade",
+                 told_outcome::not_run);
+            return false;
+        }
+        return true;
+    }
+    const auto at = model_name_.find('@');
+    model_version wanted{model_name_.substr(0, at),
+                         at == std::string::npos ? std::string{} : model_name_.substr(at + 1)};
+    if (records.model(wanted.model) == nullptr) {
+        fail(404, "unknown_model", "no such model", told_outcome::not_run);
+        return false;
+    }
+    if (wanted.version.empty()) {
+        wanted.version = records.current_version(wanted.model);
+        if (const auto* rollout = records.rollout_of(wanted.model); rollout != nullptr) {
+            const model_version candidate{wanted.model, rollout->to};
+            const bool known =
+                !session_.empty() &&
+                services_.sessions.find({fact_.key.account, session_, wanted.model}).has_value();
+            if (wanted.version != rollout->to && !known &&
+                records.check(fact_.key.account, candidate) == records::verdict::allowed &&
+                services_.exposure.take(candidate, arrived_)) {
+                wanted = candidate;
+                on_candidate_ = true;
+            }
+        }
+    }
+    stages_ = {std::move(wanted)};
+    return true;
+}
+
+void caller_request::bind_session()
+{
+    if (session_.empty() || service_ || cascade_) {
+        session_bound(nullptr);
+        return;
+    }
+    if (const auto known = services_.sessions.find({fact_.key.account, session_, target().model})) {
+        ledger::ledger_reply reply;
+        reply.bound_version = *known;
+        session_bound(&reply);
+        return;
+    }
+    const auto groups = services_.control.ledger_groups();
+    const auto group = ledger::group_of_session(fact_.key.account, session_, groups);
+    ledger::ledger_command command;
+    command.bind = ledger::bind_session{fact_.key.account, session_, target()};
+    services_.ledger.write(1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
+                           [self = shared_from_this()](const ledger::ledger_reply* reply) {
+                               if (reply == nullptr) {
+                                   self->fail(503, "unavailable",
+                                              "the session's version cannot be looked up now",
+                                              told_outcome::not_run, unavailable_retry);
+                                   return;
+                               }
+                               self->session_bound(reply);
+                           });
+}
+
+void caller_request::session_bound(const ledger::ledger_reply* reply)
+{
+    if (closing_ || over_) {
+        return;
+    }
+    if (reply != nullptr) {
+        services_.sessions.put({fact_.key.account, session_, target().model}, reply->bound_version);
+        if (reply->bound_version != target().version) {
+            if (on_candidate_) {
+                services_.exposure.give_back(target());
+                on_candidate_ = false;
+            }
+            stages_[0].version = reply->bound_version;
+        }
+    }
+    if (!service_) {
+        const auto verdict = services_.control.records().state().check(fact_.key.account, target());
+        if (verdict == records::verdict::withdrawn) {
+            // A session is never moved to another version in silence; its caller decides.
+            const bool bound = reply != nullptr;
+            fail(bound ? 409 : 410, bound ? "session_version_withdrawn" : "version_withdrawn",
+                 bound ? "the session's version was withdrawn; start a new session"
+                       : "this version was withdrawn",
+                 told_outcome::not_run);
+            return;
+        }
+        if (verdict != records::verdict::allowed) {
+            fail(verdict == records::verdict::unknown_version ? 404 : 403, "forbidden_model",
+                 "the account may not use this model and version", told_outcome::not_run);
+            return;
+        }
+    }
+    choose_cascade_start();
+    open();
+}
+
+void caller_request::choose_cascade_start()
+{
+    if (!cascade_) {
+        return;
+    }
+    const auto& records = services_.control.records().state();
+    std::vector<routing::cascade_stage> stages;
+    for (const auto& it : stages_) {
+        const auto* version = records.version(it);
+        stages.push_back({static_cast<double>(version->price_in + version->price_out),
+                          version->quality, micros{0}});
+    }
+    const routing::cascade_query query{fact_.key.account, task_, non_idempotent_, remaining(),
+                                       accept_rating_};
+    stage_ = services_.cascades.start_stage(query, stages);
+}
+
+void caller_request::open()
+{
+    fact_.session = session_;
+    fact_.non_idempotent = non_idempotent_;
+    attempt_.id = services_.env.random();
+    fact_.attempt = attempt_.id;
+    if (!non_idempotent_) {
+        attempt();
+        return;
+    }
+    // Which agent will run it must be in the ledger before it is sent: a resend through any entry
+    // then finds this attempt instead of starting a second.
+    const auto choice = services_.router.choose({target(), prefix_, {}}, services_.env.now());
+    if (!choice) {
+        give_up();
+        return;
+    }
+    attempt_.backend = choice->backend;
+    attempt_.agent_life = choice->agent_life;
+    ledger::ledger_command command;
+    command.open = ledger::open_request{
+        fact_.key, attempt_.id, choice->backend.agent, choice->agent_life, choice->backend.backend,
+        target(),  true};
+    const auto group = ledger::group_of(fact_.key, services_.control.ledger_groups());
+    services_.ledger.write(
+        1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
+        [self = shared_from_this()](const ledger::ledger_reply* reply) { self->opened(reply); });
+}
+
+void caller_request::opened(const ledger::ledger_reply* reply)
+{
+    if (closing_ || over_) {
+        return;
+    }
+    if (reply == nullptr) {
+        fail(503, "unavailable", "the ledger cannot be reached", told_outcome::not_run,
+             unavailable_retry);
+        return;
+    }
+    if (reply->status == ledger::ledger_status::duplicate && reply->holder) {
+        attach(*reply->holder, reply->closed);
+        return;
+    }
+    send_start();
+}
+
+void caller_request::attach(const ledger::open_request& holder,
+                            std::optional<ledger::request_outcome> closed)
+{
+    // The key has run, or is running: this caller gets that run's answer or hears its fate, never a
+    // second run.
+    attempt_.id = holder.attempt;
+    attempt_.backend = {holder.agent, holder.backend};
+    attempt_.agent_life = holder.agent_life;
+    attempt_.started = services_.env.now();
+    fact_.attempt = holder.attempt;
+    stages_ = {holder.target};
+    stage_ = 0;
+    maybe_ran_ = true;
+    services_.agents.listen(attempt_.id, holder.agent,
+                            [self = shared_from_this(), id = attempt_.id](const auto& event) {
+                                self->on_event(id, event);
+                            });
+    attempt_.live = true;
+    if (!services_.agents.send(holder.agent, wire::resume{attempt_.id, attempt_.agent_life, 0})) {
+        const bool known = closed && *closed == ledger::request_outcome::complete;
+        fail(409, "already_requested",
+             known ? "this request was completed; its answer is no longer kept"
+                   : "this request was sent before; its outcome is not known here",
+             told_outcome::unknown);
+    }
+}
+
+void caller_request::attempt()
+{
+    if (closing_ || over_) {
+        return;
+    }
+    const auto choice = services_.router.choose({target(), prefix_, tried_}, services_.env.now());
+    if (!choice) {
+        give_up();
+        return;
+    }
+    attempt_.backend = choice->backend;
+    attempt_.agent_life = choice->agent_life;
+    send_start();
+}
+
+void caller_request::send_start()
+{
+    const auto& env = services_.env;
+    const auto* account = services_.control.records().state().account(fact_.key.account);
+    attempt_.started = env.now();
+    attempt_.first_byte.reset();
+    attempt_.received = 0;
+    attempt_.live = true;
+    answer_.reset();
+    if (tries_++ == 0) {
+        services_.retries.first_try();
+    }
+    services_.agents.listen(attempt_.id, attempt_.backend.agent,
+                            [self = shared_from_this(), id = attempt_.id](const auto& event) {
+                                self->on_event(id, event);
+                            });
+    wire::start order;
+    order.attempt = attempt_.id;
+    order.agent_life = attempt_.agent_life;
+    order.key = fact_.key;
+    order.target = target();
+    order.backend = attempt_.backend.backend;
+    order.session = session_;
+    order.non_idempotent = non_idempotent_;
+    order.stream = stream_;
+    order.urgency = account == nullptr ? wire::priority::normal : account->urgency;
+    order.weight = account == nullptr ? 1 : account->weight;
+    order.remaining_us = static_cast<std::uint64_t>(std::max<std::int64_t>(0, remaining().count()));
+    order.records_index = services_.control.records().state().index();
+    order.method = method_;
+    order.path = service_path_;
+    order.content_type = "application/json";
+    order.body = body_;
+    order.traceparent = trace_.header();
+    services_.router.started(attempt_.backend, prefix_, env.now());
+    if (!services_.agents.send(attempt_.backend.agent, order)) {
+        // Nothing left this process: the attempt surely did not run.
+        close_attempt(true, micros{0});
+        if (!try_elsewhere(true)) {
+            give_up();
+        }
+    }
+}
+
+void caller_request::close_attempt(bool backend_failed, micros total)
+{
+    attempt_.live = false;
+    services_.agents.forget(attempt_.id);
+    link_timer_.cancel();
+    routing::attempt_report report;
+    report.failed = backend_failed;
+    report.total = total;
+    if (attempt_.first_byte) {
+        report.first_token = *attempt_.first_byte - attempt_.started;
+    }
+    services_.router.ended(attempt_.backend, report, services_.env.now());
+    tried_.push_back(attempt_.backend);
+}
+
+bool caller_request::try_elsewhere(bool safe)
+{
+    // Another try is safe if the last one surely did not run, or may run twice; and only while the
+    // caller has seen nothing of the first answer. A non-idempotent request stays with the agent
+    // that the ledger names.
+    if (!safe || non_idempotent_ || answer_.shown() > 0 || closing_ || gone_ ||
+        !services_.retries.try_again(tries_, remaining())) {
+        return false;
+    }
+    services_.env.metrics.count("entry_retries_total");
+    attempt_.id = services_.env.random();
+    attempt();
+    return closing_ || over_ || attempt_.live;
+}
+
+void caller_request::on_event(attempt_id id, const attempt_event& event)
+{
+    if (id != attempt_.id || !attempt_.live) {
+        return; // of an attempt that was given up
+    }
+    const auto keep = shared_from_this();
+    struct visitor {
+        caller_request& self;
+        void operator()(const wire::refused& it) const { self.on_refused(it); }
+        void operator()(const wire::piece& it) const { self.on_piece(it); }
+        void operator()(const wire::finished& it) const { self.on_finished(it); }
+        void operator()(const wire::unknown_attempt& it) const { self.on_unknown(it); }
+        void operator()(const link_lost&) const { self.on_link_lost(); }
+        void operator()(const link_back&) const { self.on_link_back(); }
+    };
+    std::visit(visitor{*this}, event);
+}
+
+micros caller_request::remaining() const
+{
+    return deadline_ - services_.env.now();
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/engine_call.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "hickorypost/net/gobject_ptr.h"
+#include "hickorypost/net/timer.h"
+#include "hickorypost/wire/messages.h"
+
+#include <functional>
+#include <libsoup/soup.h>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hickorypost {
+
+/// How a call to a backend server ended.
+struct engine_result {
+    wire::run_outcome outcome = wire::run_outcome::complete;
+    std::uint32_t http_status = 0;
+    std::string content_type;
+    wire::usage used;
+};
+
+struct engine_call_hooks {
+    std::function<void(std::uint32_t http_status, std::string_view content_type)> head;
+    std::function<void(std::string_view bytes)> bytes;
+    std::function<void(const engine_result&)> over; ///< once, unless the call is destroyed before
+};
+
+struct engine_request {
+    std::string method = "POST";
+    std::string url;
+    std::string content_type;
+    std::string body;
+    std::string traceparent;
+    std::string request_id;    ///< sent as X-Request-Id, for the backend server's own logs
+    bool event_stream = false; ///< the answer must end with `data: [DONE]` to count as whole
+    millis limit{0};
+};
+
+/// Reads token usage out of an answer as it passes: the `usage` object of the chat-completions
+/// interface, or else one token per event.
+class usage_reader {
+public:
+    explicit usage_reader(bool event_stream) : event_stream_{event_stream} {}
+    void push(std::string_view bytes);
+    [[nodiscard]] wire::usage usage() const;
+    [[nodiscard]] bool done_seen() const noexcept { return done_; }
+
+private:
+    void take_line(std::string_view line);
+    void take_usage(std::string_view json);
+
+    bool event_stream_;
+    bool done_ = false;
+    bool reported_ = false;
+    std::string rest_;
+    std::uint64_t events_ = 0;
+    wire::usage usage_;
+};
+
+/// One HTTP call to a backend server. Destroying it cancels the call, which ends the engine's work.
+class engine_call {
+public:
+    engine_call(SoupSession* session, const engine_request& request, engine_call_hooks hooks);
+    ~engine_call();
+    engine_call(const engine_call&) = delete;
+    engine_call& operator=(const engine_call&) = delete;
+
+    void cancel(wire::run_outcome why);
+
+private:
+    struct shared_state;
+    static void on_sent(GObject* source, GAsyncResult* outcome, gpointer data);
+    static void on_read(GObject* source, GAsyncResult* outcome, gpointer data);
+    static void read_more(std::shared_ptr<shared_state> state);
+    static void finish(shared_state& state, wire::run_outcome outcome);
+
+    std::shared_ptr<shared_state> state_;
+    net::timer limit_timer_;
+};
+
+} // namespace hickorypost
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,3 @@
+/// Entry point shared by every Boost.Test program.
+#define BOOST_TEST_MODULE hickorypost
+#include <boost/test/unit_test.hpp>
