--- a/modules/admission/include/hickorypost/admission/admission_queue.h
+++ b/modules/admission/include/hickorypost/admission/admission_queue.h
@@ -51,6 +51,8 @@
     /// The next job to run, if a slot is free for its class; the caller must call `finished`.
     std::optional<waiting_job> next();
     void finished(wire::priority urgency, micros ran);
+    /// The job that `next` gave did not run after all; teaches nothing about service times.
+    void released(wire::priority urgency);
     /// Takes a waiting job out; false if it is not waiting.
     bool cancel(attempt_id attempt);
     /// Takes out the jobs whose deadline has passed.
--- a/modules/admission/src/admission_queue.cpp
+++ b/modules/admission/src/admission_queue.cpp
@@ -125,10 +125,15 @@
     return job;
 }
 
-void admission_queue::finished(wire::priority urgency, micros ran)
+void admission_queue::released(wire::priority urgency)
 {
     --running_;
     running_bulk_ -= urgency == wire::priority::bulk ? 1U : 0U;
+}
+
+void admission_queue::finished(wire::priority urgency, micros ran)
+{
+    released(urgency);
     micros& mean = queues_[index_of(urgency)].service_time;
     if (mean == micros{0}) {
         mean = std::max(ran, micros{1});
--- a/src/answer_stream.h
+++ b/modules/dispatch/include/hickorypost/dispatch/answer_stream.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 /// Puts an answer together from pieces that may come twice, late or with gaps, and holds back its
 /// end mark until the bill is durable.
@@ -30,4 +30,4 @@
     std::size_t shown_ = 0;
 };
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/caller_request.h
+++ b/modules/dispatch/include/hickorypost/dispatch/request_flow.h
@@ -1,35 +1,34 @@
 #pragma once
 
-#include "answer_stream.h"
-#include "entry_services.h"
-#include "hickorypost/ledger/ledger_types.h"
-#include "http_server.h"
+#include "hickorypost/dispatch/answer_stream.h"
+#include "hickorypost/dispatch/caller_types.h"
+#include "hickorypost/dispatch/request_services.h"
+#include "hickorypost/telemetry/span.h"
 
 #include <memory>
 #include <optional>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
-/// What a caller is told about a request that gave no whole answer.
-enum class told_outcome : std::uint8_t {
-    not_run, ///< no backend server started it, and none will
-    failed,  ///< it ran, and its answer is lost or incomplete
-    unknown, ///< it may have run
-};
-
-/// One request of a caller at an entry, from its HTTP message to its settled bill.
+/// One request of a caller at an entry, from its message to its settled bill. Sans I/O.
 ///
 /// States follow one another by callbacks: identify, bind the session, open in the ledger, attempt
 /// (again elsewhere where that is safe), deliver, bill. It keeps itself alive until it is billed.
-class caller_request : public std::enable_shared_from_this<caller_request> {
+class request_flow : public std::enable_shared_from_this<request_flow> {
 public:
-    caller_request(entry_services& services, std::shared_ptr<http_exchange> exchange,
-                   std::function<void()> on_over);
-    ~caller_request();
-    caller_request(const caller_request&) = delete;
-    caller_request& operator=(const caller_request&) = delete;
+    request_flow(request_services& services, caller_input input, caller_hooks caller);
+    ~request_flow();
+    request_flow(const request_flow&) = delete;
+    request_flow& operator=(const request_flow&) = delete;
 
     void begin();
+    void caller_gone();
+    void on_timer(flow_timer which);
+
+    [[nodiscard]] const ledger::usage_fact& fact() const noexcept { return fact_; }
+    [[nodiscard]] const telemetry::trace_context& trace() const noexcept { return trace_; }
+    [[nodiscard]] const std::string& parent_span() const noexcept { return parent_span_; }
+    [[nodiscard]] instant arrived() const noexcept { return arrived_; }
 
 private:
     struct attempt_state {
@@ -67,6 +66,8 @@
     void on_link_lost();
     void on_link_back();
     void lost_for_good();
+    void start_link_timer(millis delay);
+    void stop_link_timer();
     void close_attempt(bool backend_failed, micros total);
     bool try_elsewhere(bool safe);
 
@@ -85,17 +86,15 @@
     void fail(unsigned status, std::string_view type, std::string_view message,
               told_outcome outcome, std::optional<millis> retry_after = std::nullopt);
     void give_up();
-    void on_caller_gone();
     void on_deadline();
     void over();
-    void write_span();
-    [[nodiscard]] std::vector<http_header> answer_headers() const;
+    [[nodiscard]] std::vector<answer_header> answer_headers() const;
     [[nodiscard]] micros remaining() const;
     [[nodiscard]] const model_version& target() const { return stages_[stage_]; }
 
-    entry_services& services_;
-    std::shared_ptr<http_exchange> exchange_;
-    std::function<void()> on_over_;
+    request_services& services_;
+    caller_input input_;
+    caller_hooks caller_;
 
     ledger::usage_fact fact_;
     std::string model_name_;
@@ -134,8 +133,7 @@
     bool closing_ = false; ///< the outcome is settled; only the bill is awaited
     bool gone_ = false;
     bool over_ = false;
-    net::timer deadline_timer_;
-    net::timer link_timer_;
+    bool link_timer_armed_ = false;
 };
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/session_cache.h
+++ b/modules/dispatch/include/hickorypost/dispatch/session_cache.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 /// Versions of sessions that the ledger has bound, as far as this entry has asked. A binding is
 /// write-once in the ledger, so what is cached cannot be wrong, only forgotten.
@@ -32,4 +32,4 @@
     std::deque<session_key> order_;
 };
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/answer_stream.cpp
+++ b/modules/dispatch/src/answer_stream.cpp
@@ -1,8 +1,8 @@
-#include "answer_stream.h"
+#include "hickorypost/dispatch/answer_stream.h"
 
 #include <algorithm>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 namespace {
 
@@ -53,4 +53,4 @@
     return fresh;
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/billing.cpp
+++ b/modules/dispatch/src/billing.cpp
@@ -1,6 +1,6 @@
-#include "billing.h"
+#include "hickorypost/dispatch/billing.h"
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 std::int64_t price_run(const records::records_state& records, const model_version& target,
                        bool service, const wire::usage& used)
@@ -28,4 +28,4 @@
     return ledger::request_outcome::failed;
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/caller_answer.cpp
+++ b/modules/dispatch/src/request_answer.cpp
@@ -1,13 +1,13 @@
 /// The second half of a caller's request: from its agent's answer to its settled bill.
 
-#include "billing.h"
-#include "caller_request.h"
+#include "hickorypost/dispatch/billing.h"
+#include "hickorypost/dispatch/request_flow.h"
 #include "hickorypost/ledger/ledger_state.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 namespace {
 
@@ -70,7 +70,7 @@
 
 } // namespace
 
-void caller_request::on_refused(const wire::refused& msg)
+void request_flow::on_refused(const wire::refused& msg)
 {
     retry_hint_ = std::max(retry_hint_, millis{static_cast<std::int64_t>(msg.retry_after_ms)});
     last_refusal_ = msg.reason;
@@ -89,15 +89,15 @@
     }
 }
 
-void caller_request::on_piece(const wire::piece& msg)
+void request_flow::on_piece(const wire::piece& msg)
 {
     if (!attempt_.first_byte) {
-        attempt_.first_byte = services_.env.now();
+        attempt_.first_byte = services_.now();
     }
     if (!answer_.take(msg.offset, msg.bytes)) {
         // Bytes are missing before this piece: have the rest sent again from where we are.
-        services_.agents.send(attempt_.backend.agent,
-                              wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
+        services_.send(attempt_.backend.agent,
+                       wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
         return;
     }
     const bool show = stream_ && !cascade_ && !closing_ && msg.http_status < first_error_status;
@@ -106,28 +106,27 @@
     }
     if (!streaming_) {
         streaming_ = true;
-        exchange_->start_stream(200,
-                                msg.content_type.empty() ? "text/event-stream"
-                                                         : std::string_view{msg.content_type},
-                                answer_headers());
+        caller_.start_stream(msg.content_type.empty() ? "text/event-stream"
+                                                      : std::string_view{msg.content_type},
+                             answer_headers());
     }
-    exchange_->write(answer_.showable());
+    caller_.write(answer_.showable());
 }
 
-void caller_request::on_finished(const wire::finished& msg)
+void request_flow::on_finished(const wire::finished& msg)
 {
     if (answer_.size() < msg.bytes) {
-        services_.agents.send(attempt_.backend.agent,
-                              wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
+        services_.send(attempt_.backend.agent,
+                       wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
         return;
     }
-    services_.router.take_load(attempt_.backend, msg.running, msg.queued, services_.env.now());
+    services_.router.take_load(attempt_.backend, msg.running, msg.queued, services_.now());
     const bool backend_fault = is_backend_fault(msg);
     to_settle_.emplace_back(attempt_.backend.agent, attempt_.id);
     answer_type_ = msg.content_type;
     add_line(msg);
     report_evidence(msg);
-    close_attempt(backend_fault, services_.env.now() - attempt_.started);
+    close_attempt(backend_fault, services_.now() - attempt_.started);
     if (closing_) {
         bill(deadline_passed_ ? ledger::request_outcome::failed
                               : ledger::request_outcome::cancelled);
@@ -148,7 +147,7 @@
     if (msg.outcome == wire::run_outcome::engine_error) {
         // The backend server refused the request itself; its words go to the caller as they are.
         closing_ = true;
-        exchange_->respond(msg.http_status, msg.content_type, answer_headers(), answer_.all());
+        caller_.respond(msg.http_status, msg.content_type, answer_headers(), answer_.all());
         bill(ledger::request_outcome::failed);
         return;
     }
@@ -157,7 +156,7 @@
          late ? "the deadline passed while it ran" : "the run was cancelled", told_outcome::failed);
 }
 
-void caller_request::on_unknown(const wire::unknown_attempt& msg)
+void request_flow::on_unknown(const wire::unknown_attempt& msg)
 {
     close_attempt(true, micros{0});
     maybe_ran_ = maybe_ran_ || !msg.same_life;
@@ -170,24 +169,35 @@
     }
 }
 
-void caller_request::on_link_lost()
+void request_flow::on_link_lost()
 {
-    if (!link_timer_.armed()) {
-        link_timer_ =
-            net::timer::once(resume_grace, [self = shared_from_this()] { self->lost_for_good(); });
+    if (!link_timer_armed_) {
+        start_link_timer(resume_grace);
     }
 }
 
-void caller_request::on_link_back()
+void request_flow::start_link_timer(millis delay)
+{
+    link_timer_armed_ = true;
+    caller_.start_timer(flow_timer::link, delay);
+}
+
+void request_flow::stop_link_timer()
+{
+    link_timer_armed_ = false;
+    caller_.stop_timer(flow_timer::link);
+}
+
+void request_flow::on_link_back()
 {
     // The old connection may have taken frames with it, in either direction: ask for the attempt by
     // its identity. The agent sends the rest, or says that it never saw it.
-    link_timer_.cancel();
-    services_.agents.send(attempt_.backend.agent,
-                          wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
+    stop_link_timer();
+    services_.send(attempt_.backend.agent,
+                   wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
 }
 
-void caller_request::lost_for_good()
+void request_flow::lost_for_good()
 {
     const auto keep = shared_from_this();
     maybe_ran_ = true;
@@ -201,91 +211,91 @@
     }
 }
 
-void caller_request::add_line(const wire::finished& msg)
+void request_flow::add_line(const wire::finished& msg)
 {
-    const auto first = attempt_.first_byte.value_or(services_.env.now()) - attempt_.started;
+    const auto first = attempt_.first_byte.value_or(services_.now()) - attempt_.started;
     ledger::stage_line line;
     line.target = target();
     line.agent = attempt_.backend.agent;
     line.complete = msg.outcome == wire::run_outcome::complete;
     line.used = msg.used;
-    line.cost = price_run(services_.control.records().state(), target(), service_, msg.used);
+    line.cost = price_run(services_.records(), target(), service_, msg.used);
     line.first_ms = to_millis(first);
-    line.total_ms = to_millis(services_.env.now() - attempt_.started);
+    line.total_ms = to_millis(services_.now() - attempt_.started);
     fact_.lines.push_back(std::move(line));
     if (!service_) {
-        services_.env.metrics.observe("entry_first_token_seconds",
-                                      static_cast<double>(first.count()) / 1e6);
+        services_.metrics.observe("entry_first_token_seconds",
+                                  static_cast<double>(first.count()) / 1e6);
     }
 }
 
-void caller_request::report_evidence(const wire::finished& msg)
+void request_flow::report_evidence(const wire::finished& msg)
 {
     if (service_ || msg.outcome == wire::run_outcome::cancelled) {
         return;
     }
-    const auto* model = services_.control.records().state().model(target().model);
-    const auto first = attempt_.first_byte.value_or(services_.env.now()) - attempt_.started;
+    const auto* model = services_.records().model(target().model);
+    const auto first = attempt_.first_byte.value_or(services_.now()) - attempt_.started;
     const bool slow = model != nullptr && model->slow_ms > 0 && to_millis(first) > model->slow_ms;
     services_.exposure.saw_answer(target(), msg.outcome != wire::run_outcome::complete, slow);
-    if (msg.outcome != wire::run_outcome::complete || cascade_ || !services_.ratings.active()) {
+    if (msg.outcome != wire::run_outcome::complete || cascade_ || !services_.rated()) {
         return;
     }
     constexpr double good_rating = 0.5;
-    services_.ratings.rate(target(), body_, answer_.all(), rating_limit,
-                           [&book = services_.exposure, version = target()](auto rating) {
-                               if (rating) {
-                                   book.saw_rating(version, *rating >= good_rating);
-                               }
-                           });
+    services_.rate(target(), body_, answer_.all(), rating_limit,
+                   [&book = services_.exposure, version = target()](auto rating) {
+                       if (rating) {
+                           book.saw_rating(version, *rating >= good_rating);
+                       }
+                   });
 }
 
-void caller_request::judge_stage(const wire::finished&)
+void request_flow::judge_stage(const wire::finished&)
 {
     const bool last = stage_ + 1 >= stages_.size();
-    if (!cascade_ || non_idempotent_ || !services_.ratings.active()) {
+    if (!cascade_ || non_idempotent_ || !services_.rated()) {
         deliver_complete();
         return;
     }
     const millis limit = std::chrono::duration_cast<millis>(remaining());
-    services_.ratings.rate(target(), body_, answer_.all(), limit,
-                           [self = shared_from_this(), last](std::optional<double> rating) {
-                               if (self->closing_ || self->over_) {
-                                   return;
-                               }
-                               if (rating) {
-                                   const bool good = *rating >= self->accept_rating_;
-                                   self->services_.cascades.learn(
-                                       {self->fact_.key.account, self->task_}, self->stage_, good);
-                               }
-                               self->escalate_or_deliver(last ? std::nullopt : rating);
-                           });
+    services_.rate(target(), body_, answer_.all(), limit,
+                   [self = shared_from_this(), last](std::optional<double> rating) {
+                       if (self->closing_ || self->over_) {
+                           return;
+                       }
+                       if (rating) {
+                           const bool good = *rating >= self->accept_rating_;
+                           self->services_.cascades.learn({self->fact_.key.account, self->task_},
+                                                          self->stage_, good);
+                       }
+                       self->escalate_or_deliver(last ? std::nullopt : rating);
+                   });
 }
 
-void caller_request::escalate_or_deliver(std::optional<double> rating)
+void request_flow::escalate_or_deliver(std::optional<double> rating)
 {
     const bool poor = rating && *rating < accept_rating_;
     if (!poor || remaining() <= micros{0}) {
         deliver_complete();
         return;
     }
-    services_.env.metrics.count("entry_escalations_total");
+    services_.metrics.count("entry_escalations_total");
     ++stage_;
     tried_.clear();
-    attempt_.id = services_.env.random();
+    attempt_.id = services_.random();
     attempt();
 }
 
-void caller_request::deliver_complete()
+void request_flow::deliver_complete()
 {
     closing_ = true;
     bill(ledger::request_outcome::complete);
 }
 
-void caller_request::bill(ledger::request_outcome outcome)
+void request_flow::bill(ledger::request_outcome outcome)
 {
     closing_ = true;
-    deadline_timer_.cancel();
+    caller_.stop_timer(flow_timer::deadline);
     if (fact_.lines.empty() && !maybe_ran_) {
         billed();
         return;
@@ -298,18 +308,18 @@
     }
     ledger::ledger_command command;
     command.usage = fact_;
-    const auto group = ledger::group_of(fact_.key, services_.control.ledger_groups());
-    const instant asked = services_.env.now();
-    services_.ledger.write(1 + group, std::move(command), millis{0},
+    const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
+    const instant asked = services_.now();
+    services_.write_ledger(1 + group, std::move(command), millis{0},
                            [self = shared_from_this(), asked](const ledger::ledger_reply*) {
-                               const auto took = self->services_.env.now() - asked;
-                               self->services_.env.metrics.observe(
+                               const auto took = self->services_.now() - asked;
+                               self->services_.metrics.observe(
                                    "entry_bill_seconds", static_cast<double>(took.count()) / 1e6);
                                self->billed();
                            });
 }
 
-void caller_request::report_unknown()
+void request_flow::report_unknown()
 {
     // It may have run, and what it used is not known here. The agent bills it if it did; if the
     // agent is lost as well, this entry makes the report say unknown instead of nothing.
@@ -324,39 +334,39 @@
                                         attempt_.backend.backend,
                                         target(),
                                         false};
-    const auto group = ledger::group_of(fact_.key, services_.control.ledger_groups());
-    services_.ledger.write(1 + group, std::move(command), millis{0},
+    const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
+    services_.write_ledger(1 + group, std::move(command), millis{0},
                            [](const ledger::ledger_reply*) {});
 }
 
-void caller_request::billed()
+void request_flow::billed()
 {
     settle_attempts();
     const bool whole = fact_.outcome == ledger::request_outcome::complete && !fact_.lines.empty();
-    if (!gone_ && whole && !exchange_->gone()) {
+    if (!gone_ && whole) {
         // Only now does the caller get the end of its answer: had this process died before the bill
         // was durable, a whole answer would have gone out unbilled.
         if (streaming_) {
-            exchange_->write(answer_.rest());
-            exchange_->finish_stream();
+            caller_.write(answer_.rest());
+            caller_.finish_stream();
         } else {
-            exchange_->respond(200, answer_type_, answer_headers(), answer_.all());
+            caller_.respond(200, answer_type_, answer_headers(), answer_.all());
         }
     }
     over();
 }
 
-void caller_request::settle_attempts()
+void request_flow::settle_attempts()
 {
     for (const auto& [agent, attempt] : to_settle_) {
-        services_.agents.send(agent, wire::settled{attempt});
+        services_.send(agent, wire::settled{attempt});
     }
     to_settle_.clear();
 }
 
-std::vector<http_header> caller_request::answer_headers() const
+std::vector<answer_header> request_flow::answer_headers() const
 {
-    std::vector<http_header> out{{"Hickorypost-Request", fact_.key.request}};
+    std::vector<answer_header> out{{"Hickorypost-Request", fact_.key.request}};
     if (!stages_.empty()) {
         out.push_back({"Hickorypost-Model", target().model});
         if (!target().version.empty()) {
@@ -367,8 +377,8 @@
     return out;
 }
 
-void caller_request::fail(unsigned status, std::string_view type, std::string_view message,
-                          told_outcome outcome, std::optional<millis> retry_after)
+void request_flow::fail(unsigned status, std::string_view type, std::string_view message,
+                        told_outcome outcome, std::optional<millis> retry_after)
 {
     if (over_) {
         return;
@@ -379,7 +389,7 @@
         services_.exposure.give_back(target());
         on_candidate_ = false;
     }
-    services_.env.metrics.count("entry_errors_total{type=\"" + std::string{type} + "\"}");
+    services_.metrics.count("entry_errors_total{type=\"" + std::string{type} + "\"}");
     const nlohmann::json body = {{"error",
                                   {{"message", message},
                                    {"type", type},
@@ -388,8 +398,8 @@
     const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (streaming_) {
         // The answer has begun: it ends with an explicit error and without its end mark.
-        exchange_->write("data: " + text + "\n\n");
-        exchange_->finish_stream();
+        caller_.write("data: " + text + "\n\n");
+        caller_.finish_stream();
     } else {
         auto headers = answer_headers();
         if (retry_after) {
@@ -398,14 +408,14 @@
             headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
             headers.push_back({"Hickorypost-Retry-After-Ms", std::to_string(retry_after->count())});
         }
-        exchange_->respond(status, "application/json", headers, text);
+        caller_.respond(status, "application/json", headers, text);
     }
     if (!attempt_.live) {
         bill(ledger::request_outcome::failed);
     }
 }
 
-void caller_request::give_up()
+void request_flow::give_up()
 {
     if (closing_ || over_) {
         return;
@@ -437,7 +447,7 @@
     }
 }
 
-void caller_request::on_caller_gone()
+void request_flow::caller_gone()
 {
     gone_ = true;
     if (closing_) {
@@ -445,16 +455,16 @@
     }
     const auto keep = shared_from_this();
     closing_ = true;
-    services_.env.metrics.count("entry_callers_gone_total");
+    services_.metrics.count("entry_callers_gone_total");
     if (attempt_.live) {
         // What has run is billed once the agent says how far it came.
-        services_.agents.send(attempt_.backend.agent, wire::cancel{attempt_.id});
+        services_.send(attempt_.backend.agent, wire::cancel{attempt_.id});
         return;
     }
     bill(ledger::request_outcome::cancelled);
 }
 
-void caller_request::on_deadline()
+void request_flow::on_deadline()
 {
     if (closing_ || over_) {
         return;
@@ -466,48 +476,24 @@
              retry_hint_);
         return;
     }
-    services_.agents.send(attempt_.backend.agent, wire::cancel{attempt_.id});
+    services_.send(attempt_.backend.agent, wire::cancel{attempt_.id});
     fail(504, "deadline", "the deadline passed", told_outcome::unknown);
-    link_timer_ = net::timer::once(end_grace, [keep] {
-        if (keep->attempt_.live) {
-            keep->lost_for_good();
-        }
-    });
+    start_link_timer(end_grace);
 }
 
-void caller_request::over()
+void request_flow::over()
 {
     if (over_) {
         return;
     }
     over_ = true;
-    deadline_timer_.cancel();
-    link_timer_.cancel();
+    caller_.stop_timer(flow_timer::deadline);
+    stop_link_timer();
     if (admitted_) {
         services_.limiter.done(fact_.key.account);
     }
-    services_.env.metrics.count("entry_requests_total");
-    write_span();
-    on_over_();
-}
-
-void caller_request::write_span()
-{
-    const auto& env = services_.env;
-    if (!env.spans.active()) {
-        return;
-    }
-    const std::int64_t ended = env.wall() * millis_per_second;
-    env.spans.write({trace_,
-                     parent_span_,
-                     "entry.request",
-                     ended - (env.now() - arrived_).count(),
-                     ended,
-                     {{"request", fact_.key.request},
-                      {"account", fact_.key.account},
-                      {"model", model_name_},
-                      {"outcome", std::string{ledger::name_of(fact_.outcome)}}},
-                     fact_.outcome != ledger::request_outcome::complete});
+    services_.metrics.count("entry_requests_total");
+    caller_.over();
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/caller_request.cpp
+++ b/modules/dispatch/src/request_flow.cpp
@@ -1,13 +1,12 @@
-#include "caller_request.h"
+#include "hickorypost/dispatch/request_flow.h"
 
-#include "billing.h"
+#include "hickorypost/dispatch/billing.h"
 #include "hickorypost/ledger/ledger_state.h"
-#include "secret.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 namespace {
 
@@ -35,23 +34,17 @@
 
 } // namespace
 
-caller_request::caller_request(entry_services& services, std::shared_ptr<http_exchange> exchange,
-                               std::function<void()> on_over)
-    : services_{services}, exchange_{std::move(exchange)}, on_over_{std::move(on_over)},
-      arrived_{services.env.now()}
+request_flow::request_flow(request_services& services, caller_input input, caller_hooks caller)
+    : services_{services}, input_{std::move(input)}, caller_{std::move(caller)}, arrived_{
+                                                                                     services.now()}
 {
 }
 
-caller_request::~caller_request() = default;
+request_flow::~request_flow() = default;
 
-void caller_request::begin()
+void request_flow::begin()
 {
     const auto self = shared_from_this();
-    exchange_->on_gone([weak = weak_from_this()] {
-        if (const auto it = weak.lock()) {
-            it->on_caller_gone();
-        }
-    });
     if (!read_headers() || !identify()) {
         return;
     }
@@ -59,27 +52,37 @@
     if (!read || !admit() || !resolve()) {
         return;
     }
-    deadline_timer_ =
-        net::timer::once(std::chrono::ceil<millis>(remaining()), [self] { self->on_deadline(); });
+    caller_.start_timer(flow_timer::deadline, std::chrono::ceil<millis>(remaining()));
     bind_session();
 }
 
-bool caller_request::read_headers()
+void request_flow::on_timer(flow_timer which)
+{
+    const auto keep = shared_from_this();
+    if (which == flow_timer::deadline) {
+        on_deadline();
+    } else if (link_timer_armed_) {
+        link_timer_armed_ = false;
+        lost_for_good();
+    }
+}
+
+bool request_flow::read_headers()
 {
-    const auto& env = services_.env;
-    fact_.started_wall_ms = env.wall();
-    const auto parent = telemetry::trace_context::parse(exchange_->header("traceparent"));
-    trace_ = parent ? parent->child(env.random) : telemetry::trace_context::make_new(env.random);
+    fact_.started_wall_ms = services_.wall();
+    const auto parent = telemetry::trace_context::parse(input_.traceparent);
+    trace_ = parent ? parent->child(services_.random)
+                    : telemetry::trace_context::make_new(services_.random);
     parent_span_ = parent ? parent->span_id : std::string{};
-    const auto key = exchange_->header("Idempotency-Key");
-    fact_.key.request = key.empty() ? random_hex(env.random) : std::string{key};
-    service_ = exchange_->path().starts_with(services_prefix);
-    non_idempotent_ = is_true(exchange_->header("Hickorypost-Non-Idempotent"));
-    session_ = exchange_->header("Hickorypost-Session");
-    task_ = exchange_->header("Hickorypost-Task");
-    const auto timeout_text = exchange_->header("Hickorypost-Timeout-Ms");
+    const auto key = input_.idempotency_key;
+    fact_.key.request = key.empty() ? random_hex(services_.random) : std::string{key};
+    service_ = input_.path.starts_with(services_prefix);
+    non_idempotent_ = is_true(input_.non_idempotent);
+    session_ = input_.session;
+    task_ = input_.task;
+    const auto timeout_text = input_.timeout_ms;
     const auto timeout =
-        timeout_text.empty() ? services_.config.default_timeout : parse_millis(timeout_text);
+        timeout_text.empty() ? services_.default_timeout : parse_millis(timeout_text);
     deadline_ = arrived_ + timeout.value_or(millis{0});
     if (key.size() > max_key_bytes || session_.size() > max_key_bytes) {
         fail(400, "bad_header", "Idempotency-Key and Hickorypost-Session hold at most 256 bytes",
@@ -94,17 +97,16 @@
     return true;
 }
 
-bool caller_request::identify()
+bool request_flow::identify()
 {
-    if (!services_.control.fresh()) {
+    if (!services_.fresh()) {
         // Without a fresh mark this entry may not know of a withdrawal that is in force elsewhere.
         fail(503, "not_fresh", "this entry has lost touch with the control hosts",
              told_outcome::not_run, not_fresh_retry);
         return false;
     }
-    const auto key = bearer_key(exchange_->header("Authorization"));
-    const auto* account = services_.control.records().state().account_by_key_hash(sha256_hex(key));
-    if (key.empty() || account == nullptr) {
+    const auto* account = services_.records().account_by_key_hash(input_.key_sha256);
+    if (input_.key_sha256.empty() || account == nullptr) {
         fail(401, "unknown_account", "expected Authorization: Bearer with a client account's key",
              told_outcome::not_run);
         return false;
@@ -113,17 +115,17 @@
     return true;
 }
 
-bool caller_request::read_chat_body()
+bool request_flow::read_chat_body()
 {
-    if (exchange_->path() != chat_path) {
+    if (input_.path != chat_path) {
         fail(404, "not_found", "no such resource", told_outcome::not_run);
         return false;
     }
-    if (exchange_->method() != "POST") {
+    if (input_.method != "POST") {
         fail(405, "bad_method", "expected POST", told_outcome::not_run);
         return false;
     }
-    body_ = exchange_->body();
+    body_ = std::move(input_.body);
     const auto json = nlohmann::json::parse(body_, nullptr, false);
     if (!json.is_object() || !json.contains("model") || !json["model"].is_string()) {
         fail(400, "bad_json", "body: expected a JSON object with the key model (a string)",
@@ -144,20 +146,20 @@
     return true;
 }
 
-bool caller_request::read_service_path()
+bool request_flow::read_service_path()
 {
-    const std::string path = exchange_->path().substr(services_prefix.size());
+    const std::string path = input_.path.substr(services_prefix.size());
     const auto slash = path.find('/');
     model_name_ = path.substr(0, slash);
     service_path_ = slash == std::string::npos ? "/" : path.substr(slash);
-    method_ = exchange_->method();
-    body_ = exchange_->body();
+    method_ = input_.method;
+    body_ = std::move(input_.body);
     return true;
 }
 
-bool caller_request::admit()
+bool request_flow::admit()
 {
-    const auto* account = services_.control.records().state().account(fact_.key.account);
+    const auto* account = services_.records().account(fact_.key.account);
     const auto answer = services_.limiter.admit(
         account->name, {account->rate_per_s, account->burst, account->max_in_flight}, arrived_);
     if (!answer.admitted) {
@@ -169,9 +171,9 @@
     return true;
 }
 
-bool caller_request::resolve()
+bool request_flow::resolve()
 {
-    const auto& records = services_.control.records().state();
+    const auto& records = services_.records();
     if (service_) {
         const auto verdict = records.check_service(fact_.key.account, model_name_);
         if (verdict != records::verdict::allowed) {
@@ -228,7 +230,7 @@
     return true;
 }
 
-void caller_request::bind_session()
+void request_flow::bind_session()
 {
     if (session_.empty() || service_ || cascade_) {
         session_bound(nullptr);
@@ -240,11 +242,11 @@
         session_bound(&reply);
         return;
     }
-    const auto groups = services_.control.ledger_groups();
+    const auto groups = services_.ledger_groups();
     const auto group = ledger::group_of_session(fact_.key.account, session_, groups);
     ledger::ledger_command command;
     command.bind = ledger::bind_session{fact_.key.account, session_, target()};
-    services_.ledger.write(1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
+    services_.write_ledger(1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
                            [self = shared_from_this()](const ledger::ledger_reply* reply) {
                                if (reply == nullptr) {
                                    self->fail(503, "unavailable",
@@ -256,7 +258,7 @@
                            });
 }
 
-void caller_request::session_bound(const ledger::ledger_reply* reply)
+void request_flow::session_bound(const ledger::ledger_reply* reply)
 {
     if (closing_ || over_) {
         return;
@@ -272,7 +274,7 @@
         }
     }
     if (!service_) {
-        const auto verdict = services_.control.records().state().check(fact_.key.account, target());
+        const auto verdict = services_.records().check(fact_.key.account, target());
         if (verdict == records::verdict::withdrawn) {
             // A session is never moved to another version in silence; its caller decides.
             const bool bound = reply != nullptr;
@@ -292,12 +294,12 @@
     open();
 }
 
-void caller_request::choose_cascade_start()
+void request_flow::choose_cascade_start()
 {
     if (!cascade_) {
         return;
     }
-    const auto& records = services_.control.records().state();
+    const auto& records = services_.records();
     std::vector<routing::cascade_stage> stages;
     for (const auto& it : stages_) {
         const auto* version = records.version(it);
@@ -309,11 +311,11 @@
     stage_ = services_.cascades.start_stage(query, stages);
 }
 
-void caller_request::open()
+void request_flow::open()
 {
     fact_.session = session_;
     fact_.non_idempotent = non_idempotent_;
-    attempt_.id = services_.env.random();
+    attempt_.id = services_.random();
     fact_.attempt = attempt_.id;
     if (!non_idempotent_) {
         attempt();
@@ -321,7 +323,7 @@
     }
     // Which agent will run it must be in the ledger before it is sent: a resend through any entry
     // then finds this attempt instead of starting a second.
-    const auto choice = services_.router.choose({target(), prefix_, {}}, services_.env.now());
+    const auto choice = services_.router.choose({target(), prefix_, {}}, services_.now());
     if (!choice) {
         give_up();
         return;
@@ -332,13 +334,13 @@
     command.open = ledger::open_request{
         fact_.key, attempt_.id, choice->backend.agent, choice->agent_life, choice->backend.backend,
         target(),  true};
-    const auto group = ledger::group_of(fact_.key, services_.control.ledger_groups());
-    services_.ledger.write(
+    const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
+    services_.write_ledger(
         1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
         [self = shared_from_this()](const ledger::ledger_reply* reply) { self->opened(reply); });
 }
 
-void caller_request::opened(const ledger::ledger_reply* reply)
+void request_flow::opened(const ledger::ledger_reply* reply)
 {
     if (closing_ || over_) {
         return;
@@ -355,25 +357,25 @@
     send_start();
 }
 
-void caller_request::attach(const ledger::open_request& holder,
-                            std::optional<ledger::request_outcome> closed)
+void request_flow::attach(const ledger::open_request& holder,
+                          std::optional<ledger::request_outcome> closed)
 {
     // The key has run, or is running: this caller gets that run's answer or hears its fate, never a
     // second run.
     attempt_.id = holder.attempt;
     attempt_.backend = {holder.agent, holder.backend};
     attempt_.agent_life = holder.agent_life;
-    attempt_.started = services_.env.now();
+    attempt_.started = services_.now();
     fact_.attempt = holder.attempt;
     stages_ = {holder.target};
     stage_ = 0;
     maybe_ran_ = true;
-    services_.agents.listen(attempt_.id, holder.agent,
-                            [self = shared_from_this(), id = attempt_.id](const auto& event) {
-                                self->on_event(id, event);
-                            });
+    services_.listen(attempt_.id, holder.agent,
+                     [self = shared_from_this(), id = attempt_.id](const auto& event) {
+                         self->on_event(id, event);
+                     });
     attempt_.live = true;
-    if (!services_.agents.send(holder.agent, wire::resume{attempt_.id, attempt_.agent_life, 0})) {
+    if (!services_.send(holder.agent, wire::resume{attempt_.id, attempt_.agent_life, 0})) {
         const bool known = closed && *closed == ledger::request_outcome::complete;
         fail(409, "already_requested",
              known ? "this request was completed; its answer is no longer kept"
@@ -382,12 +384,12 @@
     }
 }
 
-void caller_request::attempt()
+void request_flow::attempt()
 {
     if (closing_ || over_) {
         return;
     }
-    const auto choice = services_.router.choose({target(), prefix_, tried_}, services_.env.now());
+    const auto choice = services_.router.choose({target(), prefix_, tried_}, services_.now());
     if (!choice) {
         give_up();
         return;
@@ -397,11 +399,10 @@
     send_start();
 }
 
-void caller_request::send_start()
+void request_flow::send_start()
 {
-    const auto& env = services_.env;
-    const auto* account = services_.control.records().state().account(fact_.key.account);
-    attempt_.started = env.now();
+    const auto* account = services_.records().account(fact_.key.account);
+    attempt_.started = services_.now();
     attempt_.first_byte.reset();
     attempt_.received = 0;
     attempt_.live = true;
@@ -409,10 +410,10 @@
     if (tries_++ == 0) {
         services_.retries.first_try();
     }
-    services_.agents.listen(attempt_.id, attempt_.backend.agent,
-                            [self = shared_from_this(), id = attempt_.id](const auto& event) {
-                                self->on_event(id, event);
-                            });
+    services_.listen(attempt_.id, attempt_.backend.agent,
+                     [self = shared_from_this(), id = attempt_.id](const auto& event) {
+                         self->on_event(id, event);
+                     });
     wire::start order;
     order.attempt = attempt_.id;
     order.agent_life = attempt_.agent_life;
@@ -425,14 +426,14 @@
     order.urgency = account == nullptr ? wire::priority::normal : account->urgency;
     order.weight = account == nullptr ? 1 : account->weight;
     order.remaining_us = static_cast<std::uint64_t>(std::max<std::int64_t>(0, remaining().count()));
-    order.records_index = services_.control.records().state().index();
+    order.records_index = services_.records().index();
     order.method = method_;
     order.path = service_path_;
     order.content_type = "application/json";
     order.body = body_;
     order.traceparent = trace_.header();
-    services_.router.started(attempt_.backend, prefix_, env.now());
-    if (!services_.agents.send(attempt_.backend.agent, order)) {
+    services_.router.started(attempt_.backend, prefix_, services_.now());
+    if (!services_.send(attempt_.backend.agent, order)) {
         // Nothing left this process: the attempt surely did not run.
         close_attempt(true, micros{0});
         if (!try_elsewhere(true)) {
@@ -441,22 +442,22 @@
     }
 }
 
-void caller_request::close_attempt(bool backend_failed, micros total)
+void request_flow::close_attempt(bool backend_failed, micros total)
 {
     attempt_.live = false;
-    services_.agents.forget(attempt_.id);
-    link_timer_.cancel();
+    services_.forget(attempt_.id);
+    stop_link_timer();
     routing::attempt_report report;
     report.failed = backend_failed;
     report.total = total;
     if (attempt_.first_byte) {
         report.first_token = *attempt_.first_byte - attempt_.started;
     }
-    services_.router.ended(attempt_.backend, report, services_.env.now());
+    services_.router.ended(attempt_.backend, report, services_.now());
     tried_.push_back(attempt_.backend);
 }
 
-bool caller_request::try_elsewhere(bool safe)
+bool request_flow::try_elsewhere(bool safe)
 {
     // Another try is safe if the last one surely did not run, or may run twice; and only while the
     // caller has seen nothing of the first answer. A non-idempotent request stays with the agent
@@ -465,20 +466,20 @@
         !services_.retries.try_again(tries_, remaining())) {
         return false;
     }
-    services_.env.metrics.count("entry_retries_total");
-    attempt_.id = services_.env.random();
+    services_.metrics.count("entry_retries_total");
+    attempt_.id = services_.random();
     attempt();
     return closing_ || over_ || attempt_.live;
 }
 
-void caller_request::on_event(attempt_id id, const attempt_event& event)
+void request_flow::on_event(attempt_id id, const attempt_event& event)
 {
     if (id != attempt_.id || !attempt_.live) {
         return; // of an attempt that was given up
     }
     const auto keep = shared_from_this();
     struct visitor {
-        caller_request& self;
+        request_flow& self;
         void operator()(const wire::refused& it) const { self.on_refused(it); }
         void operator()(const wire::piece& it) const { self.on_piece(it); }
         void operator()(const wire::finished& it) const { self.on_finished(it); }
@@ -489,9 +490,9 @@
     std::visit(visitor{*this}, event);
 }
 
-micros caller_request::remaining() const
+micros request_flow::remaining() const
 {
-    return deadline_ - services_.env.now();
+    return deadline_ - services_.now();
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/session_cache.cpp
+++ b/modules/dispatch/src/session_cache.cpp
@@ -1,6 +1,6 @@
-#include "session_cache.h"
+#include "hickorypost/dispatch/session_cache.h"
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 std::optional<std::string> session_cache::find(const session_key& key) const
 {
@@ -20,4 +20,4 @@
     }
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/modules/ledger/include/hickorypost/ledger/ledger_state.h
+++ b/modules/ledger/include/hickorypost/ledger/ledger_state.h
@@ -11,7 +11,7 @@
 struct ledger_options {
     /// How long a request's key is remembered, from its first mention. Usage that is older is
     /// refused as late instead of being billed a second time.
-    std::int64_t window_ms = 15 * 60 * 1000;
+    std::int64_t window_ms = 15LL * 60 * 1000;
     /// The same for non-idempotent requests, whose resends must find the first attempt.
     std::int64_t non_idempotent_window_ms = 24LL * 60 * 60 * 1000;
     /// How long a session is bound after its last mention.
--- a/modules/replog/include/hickorypost/replog/replica.h
+++ b/modules/replog/include/hickorypost/replog/replica.h
@@ -91,7 +91,7 @@
     [[nodiscard]] bool is_learner(const member& who) const;
     [[nodiscard]] std::size_t quorum() const noexcept { return config_.voters.size() / 2 + 1; }
     [[nodiscard]] std::set<node_id> contacts() const;
-    void propose_config(group_config config, instant now);
+    void propose_config(const group_config& config, instant now);
     void consider_membership(instant now);
     void handle_probe(const message& msg, instant now);
     void handle_probe_reply(const message& msg, instant now);
--- a/modules/replog/src/replica_membership.cpp
+++ b/modules/replog/src/replica_membership.cpp
@@ -89,7 +89,7 @@
     reset_election_timer(now);
 }
 
-void replica::propose_config(group_config config, instant now)
+void replica::propose_config(const group_config& config, instant now)
 {
     const std::uint64_t index = last_index() + 1;
     append_entry({index, hard_.term, entry_kind::config, 0, wire::encode(config)});
@@ -107,14 +107,15 @@
         return std::find(founders_.begin(), founders_.end(), node) != founders_.end() ||
                extra_contacts_.contains(node);
     };
-    for (const auto& [node, disk] : fresh_disks_) {
-        if (is_voter(disk) || is_learner(disk) || !listed(node)) {
+    for (const auto& seen : fresh_disks_) {
+        const member& disk = seen.second;
+        if (is_voter(disk) || is_learner(disk) || !listed(disk.node)) {
             continue;
         }
         group_config next = config_;
-        std::erase_if(next.learners, [&](const member& it) { return it.node == node; });
+        std::erase_if(next.learners, [&](const member& it) { return it.node == disk.node; });
         next.learners.push_back(disk);
-        return propose_config(std::move(next), now);
+        return propose_config(next, now);
     }
     for (const auto& learner : config_.learners) {
         const auto peer = peers_.find(learner);
@@ -139,7 +140,7 @@
         } else {
             continue;
         }
-        return propose_config(std::move(next), now);
+        return propose_config(next, now);
     }
 }
 
--- a/src/agent_links.cpp
+++ b/src/agent_links.cpp
@@ -22,7 +22,7 @@
 
 void agent_links::take_directory(const wire::directory_reply& reply)
 {
-    const auto drop = [&](const node_id& node) {
+    const auto drop = [this](const node_id& node) {
         // A control host that lost its link to an agent may be the one that is cut off. While our
         // own link to the agent is up, the agent is there.
         const auto peer = peers_.find(node);
@@ -32,11 +32,11 @@
     };
     if (reply.whole) {
         std::vector<node_id> gone;
-        for (const auto& [node, info] : known_) {
+        for (const auto& known : known_) {
             const bool listed = std::any_of(reply.changed.begin(), reply.changed.end(),
-                                            [&](const auto& it) { return it.node == node; });
+                                            [&](const auto& it) { return it.node == known.first; });
             if (!listed) {
-                gone.push_back(node);
+                gone.push_back(known.first);
             }
         }
         std::for_each(gone.begin(), gone.end(), drop);
@@ -76,7 +76,7 @@
         const node_id gone = it->first;
         router_.remove(gone);
         it = peers_.erase(it);
-        deliver_all(gone, link_lost{});
+        deliver_all(gone, dispatch::link_lost{});
     }
     for (const auto& node : wanted) {
         const auto& info = known_.at(node);
@@ -86,7 +86,7 @@
         if (moved) {
             router_.remove(node);
             peers_.erase(peer);
-            deliver_all(node, link_lost{});
+            deliver_all(node, dispatch::link_lost{});
         }
         if (!peers_.contains(node)) {
             dial(info);
@@ -103,7 +103,7 @@
     net::link_hooks hooks;
     hooks.up = [this, node](net::link&) {
         router_.set_linked(node, true, env_.now());
-        deliver_all(node, link_back{});
+        deliver_all(node, dispatch::link_back{});
     };
     hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
         on_message(it, type, body);
@@ -111,14 +111,14 @@
     hooks.down = [this, node](net::link&, std::string_view why) {
         env_.log->warn("link to agent {} lost: {}", node, why);
         router_.set_linked(node, false, env_.now());
-        deliver_all(node, link_lost{});
+        deliver_all(node, dispatch::link_lost{});
     };
     peers_[node].connector = std::make_unique<net::connector>(
         net::peer_address{agent.address, agent.port}, env_.hello(wire::node_role::entry), env_.tls,
         net::connector_options{}, env_.random, std::move(hooks));
 }
 
-void agent_links::listen(attempt_id attempt, const node_id& agent, attempt_hook hook)
+void agent_links::listen(attempt_id attempt, const node_id& agent, dispatch::attempt_hook hook)
 {
     listeners_[attempt] = {agent, std::move(hook)};
 }
@@ -140,16 +140,16 @@
     }
 }
 
-void agent_links::deliver(attempt_id attempt, const attempt_event& event)
+void agent_links::deliver(attempt_id attempt, const dispatch::attempt_event& event)
 {
     const auto it = listeners_.find(attempt);
     if (it != listeners_.end()) {
-        const attempt_hook hook = it->second.hook; // the hook may forget the attempt
+        const dispatch::attempt_hook hook = it->second.hook; // the hook may forget the attempt
         hook(event);
     }
 }
 
-void agent_links::deliver_all(const node_id& agent, const attempt_event& event)
+void agent_links::deliver_all(const node_id& agent, const dispatch::attempt_event& event)
 {
     std::vector<attempt_id> affected;
     for (const auto& [attempt, it] : listeners_) {
--- a/src/agent_links.h
+++ b/src/agent_links.h
@@ -1,23 +1,15 @@
 #pragma once
 
+#include "hickorypost/dispatch/request_services.h"
 #include "hickorypost/net/connector.h"
 #include "hickorypost/routing/router.h"
 #include "runtime.h"
 
 #include <map>
 #include <unordered_map>
-#include <variant>
 
 namespace hickorypost {
 
-struct link_lost {};
-struct link_back {};
-
-/// What an attempt hears of its agent.
-using attempt_event = std::variant<wire::refused, wire::piece, wire::finished,
-                                   wire::unknown_attempt, link_lost, link_back>;
-using attempt_hook = std::function<void(const attempt_event&)>;
-
 /// Freshness messages that agents send over these links.
 struct agent_link_hooks {
     std::function<void(net::link&, const wire::fresh_query&)> fresh_query;
@@ -34,7 +26,7 @@
     void take_directory(const wire::directory_reply& reply);
 
     /// Registers an attempt at an agent; events come until `forget`.
-    void listen(attempt_id attempt, const node_id& agent, attempt_hook hook);
+    void listen(attempt_id attempt, const node_id& agent, dispatch::attempt_hook hook);
     void forget(attempt_id attempt);
 
     /// False if there is no link just now: then nothing was sent.
@@ -60,14 +52,14 @@
     };
     struct listener_entry {
         node_id agent;
-        attempt_hook hook;
+        dispatch::attempt_hook hook;
     };
 
     void reconcile();
     void dial(const wire::agent_info& agent);
     void on_message(net::link& from, wire::message_type type, std::string_view body);
-    void deliver(attempt_id attempt, const attempt_event& event);
-    void deliver_all(const node_id& agent, const attempt_event& event);
+    void deliver(attempt_id attempt, const dispatch::attempt_event& event);
+    void deliver_all(const node_id& agent, const dispatch::attempt_event& event);
 
     const runtime& env_;
     routing::router& router_;
--- a/src/agent_role.h
+++ b/src/agent_role.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "agent_run.h"
 #include "control_client.h"
-#include "hickorypost/admission/admission_queue.h"
-#include "hickorypost/admission/attempt_table.h"
+#include "engine_call.h"
+#include "hickorypost/dispatch/agent_core.h"
 #include "hickorypost/net/listener.h"
 #include "http_server.h"
+#include "ledger_writer.h"
 #include "runtime.h"
 
 #include <map>
@@ -13,8 +13,7 @@
 
 namespace hickorypost {
 
-/// The process beside a backend server, and the only way to it: every promise about starting work
-/// is checked here, last.
+/// The process beside a backend server: gives `agent_core` its sockets, calls and timers.
 class agent_role final : public role {
 public:
     /// Fails with `net::listen_error`.
@@ -24,60 +23,33 @@
     void drain(std::function<void()> done) override;
 
 private:
-    struct served_backend {
-        explicit served_backend(admission::queue_options options) : queue{options} {}
-        wire::backend_info info;
-        std::string url;
-        admission::admission_queue queue;
-        instant last_announced;
-    };
-
     explicit agent_role(const runtime& env);
     result<void> open_network();
-    void open_control();
+    control_client_hooks control_hooks();
+    dispatch::agent_hooks core_hooks();
 
-    // Entries.
     void on_message(net::link& from, wire::message_type type, std::string_view body);
-    void on_start(net::link& from, wire::start order);
-    void on_cancel(net::link& from, attempt_id attempt);
-    void on_resume(net::link& from, const wire::resume& msg);
-    void on_settled(attempt_id attempt);
+    void on_link_up(net::link& from);
     void on_link_down(net::link& from);
-    [[nodiscard]] std::optional<wire::refusal> check(const wire::start& order, served_backend* to);
-    void refuse(net::link& to, attempt_id attempt, wire::refusal reason, millis retry_after);
-
-    // Runs.
-    void pump(const std::string& name);
-    void begin(agent_run& run, served_backend& on);
-    void on_bytes(attempt_id attempt, std::string_view bytes);
-    void on_over(attempt_id attempt, const engine_result& result);
-    void send_rest(agent_run& run);
-    void write_span(const agent_run& run);
-
-    // Time.
-    void sweep();
-    void bill_orphan(attempt_id attempt, agent_run& run);
-    void expire_queued();
-
-    // Backend servers.
+    [[nodiscard]] net::link* link_to(const node_id& entry) const;
+    void call(const dispatch::backend_call& what);
+    void bill(const ledger::usage_fact& fact, std::function<void(bool)> done);
     void on_http(const std::shared_ptr<http_exchange>& exchange);
     void take_announcement(const std::shared_ptr<http_exchange>& exchange);
-    void announce();
     [[nodiscard]] wire::agent_info describe_self() const;
-    [[nodiscard]] bool idle() const;
+    void announce();
+    void collect_metrics(telemetry::metrics& to);
 
     const runtime& env_;
     const agent_settings& config_;
     net::gobject_ptr<SoupSession> session_;
-    std::unique_ptr<control_client> control_;
+    std::map<attempt_id, std::unique_ptr<engine_call>> calls_;
+    dispatch::agent_core core_;
+    control_client control_;
+    ledger_writer ledger_;
     std::unique_ptr<net::listener> listener_;
     std::unique_ptr<http_server> http_;
-    std::map<std::string, std::unique_ptr<served_backend>> backends_;
-    std::unordered_map<attempt_id, std::unique_ptr<agent_run>> runs_;
-    admission::attempt_table attempts_;
-    std::map<net::link*, bool> links_;
-    std::uint64_t sequence_ = 0;
-    bool leaving_ = false;
+    std::map<node_id, std::vector<net::link*>> links_; ///< by entry, the newest last
     net::timer sweep_timer_;
     net::timer drain_timer_;
     net::timer drain_limit_timer_;
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -55,6 +55,20 @@
                       [](const auto& it) { return it->current() != nullptr; }));
 }
 
+void control_client::collect_metrics(telemetry::metrics& to) const
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    for (const auto& it : connectors_) {
+        if (const auto* link = it->current(); link != nullptr) {
+            sent += link->counters().bytes_sent;
+            received += link->counters().bytes_received;
+        }
+    }
+    to.set("control_bytes_sent", static_cast<double>(sent));
+    to.set("control_bytes_received", static_cast<double>(received));
+}
+
 net::link* control_client::link_for(std::uint32_t group, std::size_t tries)
 {
     if (const auto leader = leaders_.find(group); leader != leaders_.end()) {
--- a/src/control_client.h
+++ b/src/control_client.h
@@ -67,6 +67,8 @@
     [[nodiscard]] const records::record_replica& records() const noexcept { return replica_; }
     [[nodiscard]] bool fresh() const { return replica_.fresh(env_.now()); }
     [[nodiscard]] std::size_t links_up() const;
+    /// Traffic with the control hosts, for the control-cost accounts.
+    void collect_metrics(telemetry::metrics& to) const;
     /// Number of ledger groups, as the control hosts said; 0 before the first link.
     [[nodiscard]] std::uint32_t ledger_groups() const noexcept { return ledger_groups_; }
 
--- a/src/engine_call.cpp
+++ b/src/engine_call.cpp
@@ -101,13 +101,13 @@
     bool event_stream = false;
     bool over = false;
     wire::run_outcome cancel_reason = wire::run_outcome::cancelled;
-    engine_result result;
+    dispatch::call_result result;
     net::gobject_ptr<SoupMessage> message;
     net::gobject_ptr<GInputStream> stream;
     net::gobject_ptr<GCancellable> cancellable;
 };
 
-engine_call::engine_call(SoupSession* session, const engine_request& request,
+engine_call::engine_call(SoupSession* session, const dispatch::backend_call& request,
                          engine_call_hooks hooks)
     : state_{std::make_shared<shared_state>(
           shared_state{std::move(hooks), usage_reader{request.event_stream}, request.event_stream})}
--- a/src/engine_call.h
+++ b/src/engine_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/dispatch/agent_core.h"
 #include "hickorypost/net/gobject_ptr.h"
 #include "hickorypost/net/timer.h"
 #include "hickorypost/wire/messages.h"
@@ -12,29 +13,11 @@
 
 namespace hickorypost {
 
-/// How a call to a backend server ended.
-struct engine_result {
-    wire::run_outcome outcome = wire::run_outcome::complete;
-    std::uint32_t http_status = 0;
-    std::string content_type;
-    wire::usage used;
-};
-
 struct engine_call_hooks {
     std::function<void(std::uint32_t http_status, std::string_view content_type)> head;
     std::function<void(std::string_view bytes)> bytes;
-    std::function<void(const engine_result&)> over; ///< once, unless the call is destroyed before
-};
-
-struct engine_request {
-    std::string method = "POST";
-    std::string url;
-    std::string content_type;
-    std::string body;
-    std::string traceparent;
-    std::string request_id;    ///< sent as X-Request-Id, for the backend server's own logs
-    bool event_stream = false; ///< the answer must end with `data: [DONE]` to count as whole
-    millis limit{0};
+    std::function<void(const dispatch::call_result&)>
+        over; ///< once, unless the call is destroyed before
 };
 
 /// Reads token usage out of an answer as it passes: the `usage` object of the chat-completions
@@ -61,7 +44,8 @@
 /// One HTTP call to a backend server. Destroying it cancels the call, which ends the engine's work.
 class engine_call {
 public:
-    engine_call(SoupSession* session, const engine_request& request, engine_call_hooks hooks);
+    engine_call(SoupSession* session, const dispatch::backend_call& request,
+                engine_call_hooks hooks);
     ~engine_call();
     engine_call(const engine_call&) = delete;
     engine_call& operator=(const engine_call&) = delete;
--- a/src/entry_role.h
+++ b/src/entry_role.h
@@ -1,10 +1,17 @@
 #pragma once
 
-#include "caller_request.h"
+#include "agent_links.h"
+#include "control_client.h"
+#include "hickorypost/dispatch/request_flow.h"
+#include "http_server.h"
+#include "ledger_writer.h"
+#include "rater.h"
+#include "runtime.h"
 
 namespace hickorypost {
 
-/// An entry host: callers' HTTP on one side, agents and control hosts on the other.
+/// An entry host: callers' HTTP on one side, agents and control hosts on the other. Gives each
+/// request's flow its caller, timers and links.
 class entry_role final : public role {
 public:
     /// Fails with `net::listen_error`.
@@ -21,7 +28,9 @@
     void report_exposure();
     void check_drained();
     void collect_metrics(telemetry::metrics& to);
+    void write_span(const dispatch::request_flow& flow);
     control_client_hooks control_hooks();
+    dispatch::request_services make_services();
 
     const runtime& env_;
     const entry_settings& config_;
@@ -30,12 +39,12 @@
     routing::cascade_policy cascades_;
     rollout::exposure_book exposure_;
     admission::rate_limiter limiter_;
-    session_cache sessions_;
+    dispatch::session_cache sessions_;
     rater ratings_;
-    std::unique_ptr<control_client> control_;
+    control_client control_;
     agent_links agents_;
-    std::unique_ptr<ledger_writer> ledger_;
-    std::unique_ptr<entry_services> services_;
+    ledger_writer ledger_;
+    dispatch::request_services services_;
     std::unique_ptr<http_server> http_;
     std::size_t in_flight_ = 0;
     bool draining_ = false;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/dispatch/caller_types.h"
 #include "hickorypost/net/gobject_ptr.h"
 #include "hickorypost/net/listener.h"
 
@@ -18,10 +19,7 @@
 
 using gbytes_ptr = std::unique_ptr<GBytes, gbytes_unref>;
 
-struct http_header {
-    std::string name;
-    std::string value;
-};
+using http_header = dispatch::answer_header;
 
 /// One request from a caller, and its answer. Lives on the server's main context.
 class http_exchange : public std::enable_shared_from_this<http_exchange> {
--- a/src/ledger_writer.h
+++ b/src/ledger_writer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control_client.h"
-#include "hickorypost/ledger/ledger_types.h"
+#include "hickorypost/dispatch/request_services.h"
 
 #include <deque>
 #include <map>
@@ -12,8 +12,7 @@
 /// command, so that a commit's price is shared.
 class ledger_writer {
 public:
-    /// No reply: the ledger could not be reached within the limit.
-    using reply_fn = std::function<void(const ledger::ledger_reply*)>;
+    using reply_fn = dispatch::ledger_reply_fn;
 
     ledger_writer(const runtime& env, control_client& control);
 
--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -66,7 +66,7 @@
     std::string last = "no control host given (--control)";
     for (int round = 0; round < rounds; ++round) {
         for (const auto& url : urls_) {
-            const auto reply = ask(url, method, path, body);
+            auto reply = ask(url, method, path, body);
             if (reply.status != 0 && reply.status != unavailable) {
                 return reply;
             }
--- a/src/rater.cpp
+++ b/src/rater.cpp
@@ -14,7 +14,7 @@
 
 struct rater::open_rating {
     std::string reply;
-    rating_fn done;
+    dispatch::rating_fn done;
     std::unique_ptr<engine_call> call;
 };
 
@@ -30,7 +30,7 @@
 }
 
 void rater::rate(const model_version& version, std::string_view question, std::string_view answer,
-                 millis limit, rating_fn done)
+                 millis limit, dispatch::rating_fn done)
 {
     if (!active() || open_.size() >= max_open) {
         done(std::nullopt);
@@ -40,7 +40,8 @@
     auto& it = open_[id];
     it = std::make_unique<open_rating>();
     it->done = std::move(done);
-    engine_request request;
+    dispatch::backend_call request;
+    request.method = "POST";
     request.url = url_;
     request.content_type = "application/json";
     request.limit = limit;
@@ -52,7 +53,7 @@
     engine_call_hooks hooks;
     hooks.head = [](std::uint32_t, std::string_view) {};
     hooks.bytes = [raw = it.get()](std::string_view bytes) { raw->reply.append(bytes); };
-    hooks.over = [this, id](const engine_result& result) {
+    hooks.over = [this, id](const dispatch::call_result& result) {
         auto rating = std::move(open_.at(id));
         open_.erase(id);
         std::optional<double> value;
--- a/src/rater.h
+++ b/src/rater.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "engine_call.h"
+#include "hickorypost/dispatch/request_services.h"
 #include "runtime.h"
 
 #include <deque>
@@ -11,9 +12,6 @@
 /// Asks the platform's service that rates answers. It answers late, and for a sample only.
 class rater {
 public:
-    /// No value: the answer was not rated.
-    using rating_fn = std::function<void(std::optional<double>)>;
-
     rater(const runtime& env, std::string url);
     ~rater();
     rater(const rater&) = delete;
@@ -21,7 +19,7 @@
 
     [[nodiscard]] bool active() const noexcept { return !url_.empty(); }
     void rate(const model_version& version, std::string_view question, std::string_view answer,
-              millis limit, rating_fn done);
+              millis limit, dispatch::rating_fn done);
 
 private:
     struct open_rating;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -94,7 +94,7 @@
             }
             return std::string{row.fallback};
         }
-        const std::string value{raw.get()};
+        std::string value{raw.get()};
         if (row.required && value.empty()) {
             fault(section, key, "a value");
         }
