--- a/modules/replog/include/hickorypost/replog/replica.h
+++ b/modules/replog/include/hickorypost/replog/replica.h
@@ -69,6 +69,7 @@
         instant last_answer;
         std::optional<std::uint64_t> snapshot_offset;
         std::uint64_t snapshot_index = 0;
+        instant snapshot_sent;
     };
 
     struct held_message {
@@ -115,6 +116,7 @@
     void broadcast(instant now, bool heartbeat);
     void send_append(progress& peer, instant now, bool heartbeat);
     void send_snapshot_piece(progress& peer, instant now);
+    void continue_snapshot(progress& peer, instant now);
     void advance_commit(instant now);
     void deliver_committed();
     void rebuild_progress(instant now);
@@ -149,7 +151,6 @@
     std::uint64_t term_start_index_ = 0;
     bool lease_given_up_ = false;
 
-    instant started_;
     instant last_heard_leader_;
     instant election_due_;
     instant heartbeat_due_;
--- a/modules/replog/src/replica.cpp
+++ b/modules/replog/src/replica.cpp
@@ -13,7 +13,7 @@
     : self_{std::move(recovered.self)}, founders_{std::move(founders)}, options_{options},
       random_{std::move(random)}, hard_{std::move(recovered.hard)}, base_{std::move(
                                                                         recovered.base)},
-      started_{now}, last_heard_leader_{now}, heartbeat_due_{now}, probe_due_{now}
+      last_heard_leader_{now}, heartbeat_due_{now}, probe_due_{now}
 {
     if (base_) {
         log_start_index_ = base_->index;
--- a/modules/replog/src/replica_election.cpp
+++ b/modules/replog/src/replica_election.cpp
@@ -17,9 +17,9 @@
 
 bool replica::heard_leader_recently(instant now) const
 {
-    // Counted from the start of the process as well: a replica that restarts has forgotten whom it
+    // It begins with the start of the process: a replica that restarts has forgotten whom it
     // heard, and a vote at once would elect a second leader inside the first one's lease.
-    return now < std::max(last_heard_leader_, started_) + options_.election_min;
+    return now < last_heard_leader_ + options_.election_min;
 }
 
 void replica::become_follower(std::uint64_t term, const node_id& leader, instant now)
--- a/modules/replog/src/replica_replication.cpp
+++ b/modules/replog/src/replica_replication.cpp
@@ -51,10 +51,7 @@
 void replica::send_append(progress& peer, instant now, bool heartbeat)
 {
     if (peer.next <= log_start_index_ && log_start_index_ > 0 && !term_at(peer.next - 1)) {
-        // The next piece goes out on the answer to the last; a lost one is noticed by `broadcast`.
-        if (!peer.snapshot_offset) {
-            send_snapshot_piece(peer, now);
-        }
+        continue_snapshot(peer, now);
         return;
     }
     const std::size_t window = peer.probing ? 1 : options_.max_inflight;
@@ -163,9 +160,7 @@
         --peer.inflight;
     }
     if (msg.needs_snapshot) {
-        if (!peer.snapshot_offset) {
-            send_snapshot_piece(peer, now);
-        }
+        continue_snapshot(peer, now);
         return;
     }
     if (!msg.granted) {
@@ -219,6 +214,16 @@
     }
 }
 
+void replica::continue_snapshot(progress& peer, instant now)
+{
+    // The next piece goes out on the answer to the last. A piece or its answer may be lost while
+    // heartbeats go on being answered: without a time limit of its own the transfer would stand
+    // still for ever, and the host would never become a voter again.
+    if (!peer.snapshot_offset || now > peer.snapshot_sent + options_.election_min) {
+        send_snapshot_piece(peer, now);
+    }
+}
+
 void replica::send_snapshot_piece(progress& peer, instant now)
 {
     assert(base_);
@@ -226,6 +231,7 @@
         peer.snapshot_index = base_->index;
         peer.snapshot_offset = 0;
     }
+    peer.snapshot_sent = now;
     auto out = make(message_kind::snapshot_piece);
     out.sent_us = static_cast<std::uint64_t>(now.time_since_epoch().count());
     out.snapshot_index = base_->index;
