--- a/modules/dispatch/include/hickorypost/dispatch/agent_core.h
+++ b/modules/dispatch/include/hickorypost/dispatch/agent_core.h
@@ -33,6 +33,7 @@
     std::string body;
     std::string traceparent;
     std::string request_id;
+    model_version target;
     bool event_stream = false;
     millis limit{0};
 };
--- a/modules/dispatch/include/hickorypost/dispatch/request_flow.h
+++ b/modules/dispatch/include/hickorypost/dispatch/request_flow.h
@@ -52,6 +52,8 @@
     void session_bound(const ledger::ledger_reply* reply);
     void choose_cascade_start();
     void open();
+    void note_open();
+    [[nodiscard]] ledger::ledger_command open_command(bool non_idempotent) const;
     void opened(const ledger::ledger_reply* reply);
     void attach(const ledger::open_request& holder, std::optional<ledger::request_outcome> closed);
 
@@ -103,6 +105,8 @@
     bool stream_ = false;
     bool service_ = false;
     bool non_idempotent_ = false;
+    bool key_given_ = false; ///< by the caller, so that it may have been sent before
+    bool opened_ = false;    ///< the ledger holds the key for an attempt that is known here
     bool admitted_ = false;
     bool on_candidate_ = false;
     std::string method_;
--- a/src/control_machines.h
+++ b/modules/dispatch/include/hickorypost/dispatch/state_machines.h
@@ -6,7 +6,7 @@
 #include "hickorypost/replog/replica.h"
 #include "hickorypost/replog/state_machine.h"
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 /// Group 0: operators' records.
 class records_machine final : public replog::state_machine {
@@ -46,4 +46,4 @@
     ledger::ledger_state state_;
 };
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/modules/dispatch/src/request_answer.cpp
+++ b/modules/dispatch/src/request_answer.cpp
@@ -326,17 +326,8 @@
     if (non_idempotent_) {
         return; // opened before it was sent
     }
-    ledger::ledger_command command;
-    command.open = ledger::open_request{fact_.key,
-                                        attempt_.id,
-                                        attempt_.backend.agent,
-                                        attempt_.agent_life,
-                                        attempt_.backend.backend,
-                                        target(),
-                                        false};
-    const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
-    services_.write_ledger(1 + group, std::move(command), millis{0},
-                           [](const ledger::ledger_reply*) {});
+    services_.write_ledger(1 + ledger::group_of(fact_.key, services_.ledger_groups()),
+                           open_command(false), millis{0}, [](const ledger::ledger_reply*) {});
 }
 
 void request_flow::billed()
@@ -385,6 +376,11 @@
     }
     const auto keep = shared_from_this();
     closing_ = true;
+    if (outcome == told_outcome::not_run && non_idempotent_ && key_given_ && !opened_) {
+        // An earlier sending of the same key, through another entry, may have run. Only who holds
+        // the key in the ledger can say that it did not.
+        outcome = told_outcome::unknown;
+    }
     if (outcome == told_outcome::not_run && on_candidate_) {
         services_.exposure.give_back(target());
         on_candidate_ = false;
--- a/modules/dispatch/src/request_flow.cpp
+++ b/modules/dispatch/src/request_flow.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t prefix_bytes = 512;
 constexpr millis not_fresh_retry{500};
 constexpr millis unavailable_retry{1000};
+/// How long the note that a request runs is tried; after that only its bill says so.
+constexpr millis note_limit{10'000};
 
 /// A number of milliseconds in a header; nothing if it is not one.
 std::optional<millis> parse_millis(std::string_view text)
@@ -78,6 +80,7 @@
     fact_.key.request = key.empty() ? random_hex(services_.random) : std::string{key};
     service_ = input_.path.starts_with(services_prefix);
     non_idempotent_ = is_true(input_.non_idempotent);
+    key_given_ = !key.empty();
     session_ = input_.session;
     task_ = input_.task;
     const auto timeout_text = input_.timeout_ms;
@@ -319,6 +322,7 @@
     fact_.attempt = attempt_.id;
     if (!non_idempotent_) {
         attempt();
+        note_open();
         return;
     }
     // Which agent will run it must be in the ledger before it is sent: a resend through any entry
@@ -330,16 +334,36 @@
     }
     attempt_.backend = choice->backend;
     attempt_.agent_life = choice->agent_life;
-    ledger::ledger_command command;
-    command.open = ledger::open_request{
-        fact_.key, attempt_.id, choice->backend.agent, choice->agent_life, choice->backend.backend,
-        target(),  true};
     const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
     services_.write_ledger(
-        1 + group, std::move(command), std::chrono::ceil<millis>(remaining()),
+        1 + group, open_command(true), std::chrono::ceil<millis>(remaining()),
         [self = shared_from_this()](const ledger::ledger_reply* reply) { self->opened(reply); });
 }
 
+void request_flow::note_open()
+{
+    // Written while the engine already works, and not waited for: should this entry and the agent
+    // both be lost before the bill, the report says unknown instead of nothing.
+    if (!attempt_.live || closing_) {
+        return;
+    }
+    services_.write_ledger(1 + ledger::group_of(fact_.key, services_.ledger_groups()),
+                           open_command(false), note_limit, [](const ledger::ledger_reply*) {});
+}
+
+ledger::ledger_command request_flow::open_command(bool non_idempotent) const
+{
+    ledger::ledger_command out;
+    out.open = ledger::open_request{fact_.key,
+                                    attempt_.id,
+                                    attempt_.backend.agent,
+                                    attempt_.agent_life,
+                                    attempt_.backend.backend,
+                                    target(),
+                                    non_idempotent};
+    return out;
+}
+
 void request_flow::opened(const ledger::ledger_reply* reply)
 {
     if (closing_ || over_) {
@@ -354,6 +378,7 @@
         attach(*reply->holder, reply->closed);
         return;
     }
+    opened_ = true;
     send_start();
 }
 
@@ -369,7 +394,8 @@
     fact_.attempt = holder.attempt;
     stages_ = {holder.target};
     stage_ = 0;
-    maybe_ran_ = true;
+    opened_ = true;
+    maybe_ran_ = closed.has_value();
     services_.listen(attempt_.id, holder.agent,
                      [self = shared_from_this(), id = attempt_.id](const auto& event) {
                          self->on_event(id, event);
--- a/src/control_machines.cpp
+++ b/modules/dispatch/src/state_machines.cpp
@@ -1,8 +1,8 @@
-#include "control_machines.h"
+#include "hickorypost/dispatch/state_machines.h"
 
 #include "hickorypost/wire/codec.h"
 
-namespace hickorypost {
+namespace hickorypost::dispatch {
 
 std::string records_machine::apply(const replog::entry& command)
 {
@@ -36,4 +36,4 @@
     return wire::encode(state_.report(decoded.value_or(ledger::report_query{})));
 }
 
-} // namespace hickorypost
+} // namespace hickorypost::dispatch
--- a/src/control_role.cpp
+++ b/src/control_role.cpp
@@ -78,10 +78,10 @@
                                                   options, env_.random, env_.now());
     std::unique_ptr<replog::state_machine> machine;
     if (number == records_group) {
-        machine = std::make_unique<records_machine>(
+        machine = std::make_unique<dispatch::records_machine>(
             records::freshness_options{.lease = env_.config.lease});
     } else {
-        machine = std::make_unique<ledger_machine>(
+        machine = std::make_unique<dispatch::ledger_machine>(
             ledger::ledger_options{.window_ms = config_.usage_window_ms});
     }
     group_slot& slot = groups_[number];
@@ -147,9 +147,9 @@
     }
 }
 
-records_machine& control_role::records()
+dispatch::records_machine& control_role::records()
 {
-    return static_cast<records_machine&>(groups_[records_group].group->machine());
+    return static_cast<dispatch::records_machine&>(groups_[records_group].group->machine());
 }
 
 void control_role::send_replog(std::uint32_t group, const node_id& to, const replog::message& msg)
--- a/src/control_role.h
+++ b/src/control_role.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control_machines.h"
+#include "hickorypost/dispatch/state_machines.h"
 #include "hickorypost/membership/directory.h"
 #include "hickorypost/net/listener.h"
 #include "hickorypost/replog/group.h"
@@ -60,7 +60,7 @@
     void commit_progress(const records::rollout_progress& progress);
     void collect_metrics(telemetry::metrics& to);
 
-    records_machine& records();
+    dispatch::records_machine& records();
     [[nodiscard]] bool in_force(std::uint64_t index) const;
 
     const runtime& env_;
