[replog, entry] Two faults found by the real processes

An answer's last bytes were cut off by a graceful shutdown. Cause: a request counted as over once its bill was settled, and the process ended before libsoup had written the end mark. Two of three control hosts could wait for ever.

--- a/modules/replog/src/replica_election.cpp
+++ b/modules/replog/src/replica_election.cpp
@@ -75,9 +75,12 @@
 
 void replica::handle_vote_query(const message& msg, instant now)
 {
-    if (role_ == replica_role::fresh || !is_voter(msg.from)) {
-        return; // a fresh disk remembers no vote; a removed member must not disturb
+    if (role_ == replica_role::fresh) {
+        return; // a fresh disk remembers no vote
     }
+    // The candidate may be a member of a configuration that has not reached this replica, so it is
+    // not asked whether it votes here: the longer log decides. A removed member cannot disturb a
+    // live leader, as votes are refused while one is heard.
     const bool sticky = heard_leader_recently(now) || role_ == replica_role::leader;
     if (sticky && !msg.handover) {
         // The leader counts on this refusal for its lease; answering with our term is harmless.
--- a/modules/replog/tests/replica_test.cpp
+++ b/modules/replog/tests/replica_test.cpp
@@ -105,6 +105,36 @@
     expect_sound(cluster);
 }
 
+// A repaired host has just heard that it votes again when the leader goes down for good. The third
+// host has not heard of that change. The repaired one has the longer log, so it has to be elected
+// by the third, in whose configuration it does not vote yet; else the two would wait for ever.
+BOOST_DATA_TEST_CASE(a_vote_is_given_to_a_member_not_heard_of_yet, data::xrange(20), seed)
+{
+    sim_cluster cluster{3, static_cast<std::uint64_t>(seed) + 200};
+    BOOST_REQUIRE(elect(cluster));
+    BOOST_REQUIRE(commit(cluster, 5, "a"));
+    const std::size_t lead = *cluster.leader();
+    const std::size_t repaired = (lead + 1) % 3;
+    const std::size_t third = (lead + 2) % 3;
+    cluster.lose_disk(repaired);
+    cluster.restart(repaired);
+    // Cut the third host off as soon as the removal of the lost disk has committed.
+    const instant end = cluster.now() + patience;
+    const auto& core = cluster.core(lead);
+    while (cluster.now() < end &&
+           (core.config().voters.size() != 2 || core.commit_index() < core.last_index())) {
+        cluster.run_for(millis{1});
+    }
+    cluster.cut(lead, third, true);
+    BOOST_REQUIRE(cluster.run_until(
+        [&] { return cluster.core(repaired).role() == replog::replica_role::follower; }, patience));
+    cluster.crash(lead);
+    BOOST_TEST(elect(cluster));
+    BOOST_TEST(commit(cluster, 3, "b"));
+    cluster.check_nothing_lost();
+    expect_sound(cluster);
+}
+
 // The leader is cut off silently and does not know. It must stop leading before another can act,
 // and what it accepted without a quorum must not be acknowledged.
 BOOST_DATA_TEST_CASE(a_cut_off_leader_stops_before_another_acts, data::xrange(8), seed)
--- a/modules/wire/tests/codec_test.cpp
+++ b/modules/wire/tests/codec_test.cpp
@@ -23,7 +23,7 @@
 BOOST_AUTO_TEST_SUITE(codec)
 
 RC_BOOST_PROP(round_trip_keeps_every_field, (std::uint64_t id, const std::string& body, bool flag,
-                                             std::vector<std::string> names))
+                                             const std::vector<std::string>& names))
 {
     wire::agent_info agent;
     agent.life = id;
--- a/src/agent_role.cpp
+++ b/src/agent_role.cpp
@@ -210,8 +210,8 @@
 wire::agent_info agent_role::describe_self() const
 {
     wire::agent_info out = core_.describe_self();
-    out.address = config_.advertise;
-    out.port = listener_->port();
+    out.address = config_.advertise.host;
+    out.port = config_.advertise.port != 0 ? config_.advertise.port : listener_->port();
     out.failure_domain = env_.config.node.failure_domain;
     return out;
 }
--- a/src/entry_role.cpp
+++ b/src/entry_role.cpp
@@ -188,10 +188,18 @@
     ++in_flight_;
     auto served = std::make_shared<served_request>();
     served->exchange = exchange;
-    auto hooks = hooks_for(served, [this](const dispatch::request_flow& flow) {
-        --in_flight_;
+    // In flight until its bill is settled and its last byte has left: a shutdown that ended the
+    // process in between would cut off the end of an answer that looks complete here.
+    const auto part_done = [this, left = std::make_shared<int>(2)] {
+        if (--*left == 0) {
+            --in_flight_;
+            check_drained();
+        }
+    };
+    exchange->on_sent(part_done);
+    auto hooks = hooks_for(served, [this, part_done](const dispatch::request_flow& flow) {
         write_span(flow);
-        check_drained();
+        part_done();
     });
     served->flow =
         std::make_shared<dispatch::request_flow>(services_, input_of(*exchange), std::move(hooks));
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -197,7 +197,18 @@
 
 void http_exchange::on_finished(SoupServerMessage*, gpointer data)
 {
-    static_cast<http_exchange*>(data)->caller_left();
+    auto* exchange = static_cast<http_exchange*>(data);
+    exchange->caller_left();
+    const auto keep = std::move(exchange->self_);
+    if (auto hook = std::exchange(exchange->sent_hook_, nullptr); hook) {
+        hook();
+    }
+}
+
+void http_exchange::on_sent(std::function<void()> hook)
+{
+    sent_hook_ = std::move(hook);
+    self_ = shared_from_this();
 }
 
 http_server::http_server(std::size_t max_body_bytes, handler on_request)
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -49,6 +49,9 @@
     [[nodiscard]] bool gone() const noexcept { return gone_; }
     /// Called once if the caller goes away before the answer is complete.
     void on_gone(std::function<void()> hook);
+    /// Called once when the answer has left this process, or the caller is gone; the exchange keeps
+    /// itself alive until then.
+    void on_sent(std::function<void()> hook);
 
 private:
     void pause();
@@ -61,6 +64,8 @@
     net::gobject_ptr<SoupServerMessage> message_;
     gbytes_ptr body_;
     std::function<void()> gone_hook_;
+    std::function<void()> sent_hook_;
+    std::shared_ptr<http_exchange> self_; ///< while `sent_hook_` waits
     net::gsource_ptr close_watch_;
     gulong finished_signal_ = 0;
     bool paused_ = false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -293,9 +293,9 @@
     agent_settings out;
     out.listen = in.address("agent", "listen");
     out.http = in.address("agent", "http");
-    out.advertise = in.text("agent", "advertise");
-    if (out.advertise.empty()) {
-        out.advertise = out.listen.host;
+    out.advertise = in.address("agent", "advertise");
+    if (out.advertise.host.empty()) {
+        out.advertise = {out.listen.host, 0};
     }
     out.control = in.plain_addresses("agent", "control");
     out.drain_limit = in.duration("agent", "drain_limit_ms");
@@ -374,17 +374,22 @@
                    "]\n\n| key | default | meaning |\n"
                    "| --- | --- | --- |\n";
         }
-        std::string fallback = it.required ? "required" : "`" + std::string{it.fallback} + "`";
-        if (!it.required && it.fallback.empty()) {
-            fallback = "empty";
+        std::string fallback = it.required ? "required" : "empty";
+        if (!it.fallback.empty()) {
+            fallback = "`";
+            fallback.append(it.fallback).append("`");
         }
         std::string choices{it.choices};
         for (std::size_t at = choices.find('|'); at != std::string::npos; at = choices.find('|')) {
             choices.replace(at, 1, ", ");
         }
-        const std::string suffix = choices.empty() ? "" : " One of: " + choices + ".";
-        out += "| `" + std::string{it.key} + "` | " + fallback + " | " + std::string{it.about} +
-               suffix + " |\n";
+        std::string suffix;
+        if (!choices.empty()) {
+            suffix.append(" One of: ").append(choices).append(".");
+        }
+        out.append("| `").append(it.key).append("` | ").append(fallback).append(" | ");
+        out.append(it.about).append(suffix).append(" |
+");
     }
     return out;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -101,7 +101,7 @@
 struct agent_settings {
     net::peer_address listen;
     net::peer_address http;
-    std::string advertise; ///< IP that entries connect to
+    net::peer_address advertise; ///< that entries connect to; port 0: that of `listen`
     std::vector<net::peer_address> control;
     millis drain_limit{30'000};
     millis announce_silence{10'000};
--- /dev/null
+++ b/tests/process/relay.cpp
@@ -0,0 +1,137 @@
+#include "deployment.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace hickorypost::testing {
+
+namespace {
+
+constexpr int poll_ms = 20;
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(port);
+    out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return out;
+}
+
+} // namespace
+
+struct relay::state {
+    struct pair {
+        int a = -1;
+        int b = -1;
+        bool lost = false;
+    };
+    int listener = -1;
+    std::uint16_t to = 0;
+    std::vector<pair> pairs;
+    std::atomic<bool> lose{false};
+    std::jthread thread;
+
+    static bool forward(int from, int to)
+    {
+        std::array<char, 65536> buf{};
+        const ssize_t n = ::recv(from, buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK;
+        }
+        for (ssize_t sent = 0; sent < n;) {
+            const ssize_t m =
+                ::send(to, buf.data() + sent, static_cast<std::size_t>(n - sent), MSG_NOSIGNAL);
+            if (m <= 0) {
+                return false;
+            }
+            sent += m;
+        }
+        return n > 0;
+    }
+
+    void accept_one()
+    {
+        const int a = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        const int b = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(to);
+        if (a < 0 ||
+            ::connect(b, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+            ::close(a);
+            ::close(b);
+            return;
+        }
+        pairs.push_back({a, b, false});
+    }
+
+    void run(const std::stop_token& stop)
+    {
+        while (!stop.stop_requested()) {
+            if (lose.exchange(false)) {
+                for (auto& it : pairs) {
+                    it.lost = true;
+                }
+            }
+            std::vector<pollfd> fds{{listener, POLLIN, 0}};
+            for (const auto& it : pairs) {
+                const short wanted = it.lost ? 0 : POLLIN;
+                fds.push_back({it.a, wanted, 0});
+                fds.push_back({it.b, wanted, 0});
+            }
+            ::poll(fds.data(), fds.size(), poll_ms);
+            for (std::size_t n = 0; n < pairs.size(); ++n) {
+                auto& it = pairs[n];
+                if (it.lost || it.a < 0) {
+                    continue;
+                }
+                const bool good = (fds[1 + 2 * n].revents == 0 || forward(it.a, it.b)) &&
+                                  (fds[2 + 2 * n].revents == 0 || forward(it.b, it.a));
+                if (!good) {
+                    ::close(it.a);
+                    ::close(it.b);
+                    it.a = it.b = -1;
+                }
+            }
+            if ((fds[0].revents & POLLIN) != 0) {
+                accept_one();
+            }
+            std::erase_if(pairs, [](const auto& it) { return it.a < 0; });
+        }
+        for (const auto& it : pairs) {
+            ::close(it.a);
+            ::close(it.b);
+        }
+        ::close(listener);
+    }
+};
+
+relay::relay(std::uint16_t listen, std::uint16_t to) : state_{std::make_unique<state>()}
+{
+    state_->to = to;
+    state_->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(state_->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in address = loopback(listen);
+    if (::bind(state_->listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
+            0 ||
+        ::listen(state_->listener, SOMAXCONN) != 0) {
+        std::abort();
+    }
+    state_->thread =
+        std::jthread{[raw = state_.get()](const std::stop_token& it) { raw->run(it); }};
+}
+
+relay::~relay() = default;
+
+void relay::lose_open_connections()
+{
+    state_->lose = true;
+}
+
+} // namespace hickorypost::testing
--- a/tests/proof/world.cpp
+++ b/tests/proof/world.cpp
@@ -118,8 +118,8 @@
     return false;
 }
 
-void world::submit_change(records::record_change change, std::optional<model_version> withdraws,
-                          int tries)
+void world::submit_change(records::record_change change,
+                          const std::optional<model_version>& withdraws, int tries)
 {
     constexpr int max_tries = 40;
     if (change.change_id.empty()) {
--- a/tests/proof/world.h
+++ b/tests/proof/world.h
@@ -132,7 +132,7 @@
     void begin_call(agent_node& it, const dispatch::backend_call& call);
     void emit_part(const node_id& agent, attempt_id attempt, int part);
     // Operators.
-    void submit_change(records::record_change change, std::optional<model_version> withdraws,
+    void submit_change(records::record_change change, const std::optional<model_version>& withdraws,
                        int tries);
 
     world_options options_;
