--- a/modules/net/src/link.cpp
+++ b/modules/net/src/link.cpp
@@ -119,8 +119,8 @@
 void link::read_some()
 {
     const auto keep = shared_from_this();
-    std::array<char, read_chunk>
-        buf; // NOLINT(cppcoreguidelines-pro-type-member-init): filled below
+    // Not zeroed: filled by the read below, up to the count that it gives.
+    std::array<char, read_chunk> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
     for (int n = 0; n < reads_per_turn && !closed_; ++n) {
         GError* raw = nullptr;
         const gssize got =
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -388,8 +388,7 @@
             suffix.append(" One of: ").append(choices).append(".");
         }
         out.append("| `").append(it.key).append("` | ").append(fallback).append(" | ");
-        out.append(it.about).append(suffix).append(" |
-");
+        out.append(it.about).append(suffix).append(" |\n");
     }
     return out;
 }
