[routing, rollout, agent] Decisions measured against baselines; two leaks mended

Cause of losing to least in flight: load reports 300 ms old and noisy speed estimates moved more work than the true load did, and a cached prefix drew request after request to one replica. Failed tries: quicker learning, ignoring reports, crowding weights of 300 and 3,000 us. Causes: errors alone completed a roll-out before ratings came; the repeated test after it had the error bound of a single one; settled answers counted as good evidence (found by a_new_leader_grants_nothing_until_old_grants_have_lapsed, 40 granted for 10 allowed). Cause of 12 ms per request through the path: libsoup opens a connection for every POST and keeps the used ones, so descriptors and main loop sources grew with each request.

--- a/modules/dispatch/include/hickorypost/dispatch/agent_core.h
+++ b/modules/dispatch/include/hickorypost/dispatch/agent_core.h
@@ -33,8 +33,10 @@
     std::string body;
     std::string traceparent;
     std::string request_id;
+    std::string authorization; ///< sent as it is; empty for backend servers without keys
     model_version target;
     bool event_stream = false;
+    bool non_idempotent = false; ///< must reach the backend server once at most
     millis limit{0};
 };
 
--- a/modules/dispatch/include/hickorypost/dispatch/request_flow.h
+++ b/modules/dispatch/include/hickorypost/dispatch/request_flow.h
@@ -35,6 +35,7 @@
         attempt_id id = 0;
         routing::backend_id backend;
         incarnation agent_life = 0;
+        micros modelled_first{0};
         instant started;
         std::optional<instant> first_byte;
         std::uint64_t received = 0;
@@ -113,6 +114,7 @@
     std::string service_path_;
     std::string body_;
     std::uint64_t prefix_ = 0;
+    double prompt_tokens_ = 0; ///< estimated from its length
     instant arrived_;
     instant deadline_;
     telemetry::trace_context trace_;
--- a/modules/dispatch/src/agent_core.cpp
+++ b/modules/dispatch/src/agent_core.cpp
@@ -163,6 +163,7 @@
     call.request_id = run.order.key.request;
     call.target = run.order.target;
     call.event_stream = run.order.stream;
+    call.non_idempotent = run.order.non_idempotent;
     call.limit = std::max(millis{1}, std::chrono::duration_cast<millis>(left));
     metrics_.count("agent_started_total");
     hooks_.call(call);
--- a/modules/dispatch/src/request_answer.cpp
+++ b/modules/dispatch/src/request_answer.cpp
@@ -120,7 +120,7 @@
                        wire::resume{attempt_.id, attempt_.agent_life, answer_.size()});
         return;
     }
-    services_.router.take_load(attempt_.backend, msg.running, msg.queued, services_.now());
+    services_.router.take_load(attempt_.backend, msg.running, msg.queued);
     const bool backend_fault = is_backend_fault(msg);
     to_settle_.emplace_back(attempt_.backend.agent, attempt_.id);
     answer_type_ = msg.content_type;
--- a/modules/dispatch/src/request_flow.cpp
+++ b/modules/dispatch/src/request_flow.cpp
@@ -141,6 +141,8 @@
     }
     model_name_ = json["model"].get<std::string>();
     stream_ = json.value("stream", false);
+    constexpr double bytes_per_token = 4;
+    prompt_tokens_ = static_cast<double>(body_.size()) / bytes_per_token;
     const auto messages = body_.find("\"messages\"");
     prefix_ = hash_bytes(session_.empty()
                              ? std::string_view{body_}.substr(
@@ -327,13 +329,15 @@
     }
     // Which agent will run it must be in the ledger before it is sent: a resend through any entry
     // then finds this attempt instead of starting a second.
-    const auto choice = services_.router.choose({target(), prefix_, {}}, services_.now());
+    const auto choice =
+        services_.router.choose({target(), prefix_, prompt_tokens_, {}}, services_.now());
     if (!choice) {
         give_up();
         return;
     }
     attempt_.backend = choice->backend;
     attempt_.agent_life = choice->agent_life;
+    attempt_.modelled_first = choice->modelled_first;
     const auto group = ledger::group_of(fact_.key, services_.ledger_groups());
     services_.write_ledger(
         1 + group, open_command(true), std::chrono::ceil<millis>(remaining()),
@@ -415,13 +419,15 @@
     if (closing_ || over_) {
         return;
     }
-    const auto choice = services_.router.choose({target(), prefix_, tried_}, services_.now());
+    const auto choice =
+        services_.router.choose({target(), prefix_, prompt_tokens_, tried_}, services_.now());
     if (!choice) {
         give_up();
         return;
     }
     attempt_.backend = choice->backend;
     attempt_.agent_life = choice->agent_life;
+    attempt_.modelled_first = choice->modelled_first;
     send_start();
 }
 
@@ -476,6 +482,7 @@
     routing::attempt_report report;
     report.failed = backend_failed;
     report.total = total;
+    report.modelled_first = attempt_.modelled_first;
     if (attempt_.first_byte) {
         report.first_token = *attempt_.first_byte - attempt_.started;
     }
--- a/modules/records/include/hickorypost/records/record_types.h
+++ b/modules/records/include/hickorypost/records/record_types.h
@@ -68,6 +68,7 @@
     std::uint64_t first_answers = 10; ///< unjudged answers that the candidate may have at first
     double max_worse = 0.05;          ///< how much worse a ratio of bad answers may be
     double confidence = 0.99;         ///< of the sequential tests
+    bool rated = true;                ///< a rating service judges answers; completion waits for it
     bool withdraw_when_bad = true;    ///< false: only stop offering it for new sessions
     bool paused = false;
 };
--- a/modules/records/src/record_parser.cpp
+++ b/modules/records/src/record_parser.cpp
@@ -121,6 +121,7 @@
     out.first_answers = static_cast<std::uint64_t>(in.integer("first_answers", 10, 1, 1'000'000));
     out.max_worse = in.number("max_worse", out.max_worse, 0.001, 1);
     out.confidence = in.number("confidence", out.confidence, 0.5, 0.999999);
+    out.rated = in.flag("rated", true);
     out.withdraw_when_bad = in.flag("withdraw_when_bad", true);
     out.paused = in.flag("paused", false);
     if (!out.from.empty() && out.from == out.to) {
--- a/modules/rollout/include/hickorypost/rollout/rollout_controller.h
+++ b/modules/rollout/include/hickorypost/rollout/rollout_controller.h
@@ -13,6 +13,9 @@
     double growth = 2.0;
     /// A grant is spent or given back within this time; an entry that vanishes keeps it no longer.
     millis grant_lifetime{10'000};
+    /// Ratings come for a sample only. When none has come for this long, the answers that wait for
+    /// one are taken for judged by their errors alone, or the roll-out would stand still for ever.
+    millis rating_wait{20'000};
     /// Share of the model's traffic at most while the candidate is still on trial.
     double trial_share = 0.5;
     std::uint64_t max_bound = 100'000;
@@ -52,7 +55,9 @@
         std::uint64_t granted = 0; ///< in this leadership and committed before
         std::uint64_t settled = 0; ///< granted by earlier leaders; run out before this one grants
         std::uint64_t judged = 0;  ///< `settled` and what this leader has judged
-        std::uint64_t bound = 0;   ///< unjudged answers allowed now
+        std::uint64_t last_judged = 0;
+        instant progressed;      ///< when `judged` last grew, or the first grant was made
+        std::uint64_t bound = 0; ///< unjudged answers allowed now
     };
     [[nodiscard]] const std::map<std::string, standing>& standings() const noexcept
     {
@@ -74,6 +79,7 @@
     void reserve(standing& it, std::uint64_t upto);
     std::uint64_t grant(standing& it, entry_account& to);
     static void update_judged(standing& it);
+    void unblock(standing& it, instant now) const;
     void update_bound(standing& it) const;
 
     controller_options options_;
--- a/modules/rollout/include/hickorypost/rollout/sequential_test.h
+++ b/modules/rollout/include/hickorypost/rollout/sequential_test.h
@@ -18,9 +18,15 @@
     std::uint64_t bad = 0;
 };
 
+/// What the counts say.
+struct evidence {
+    test_verdict verdict = test_verdict::undecided;
+    double towards_bad = 0; ///< log likelihood ratio; above 0 it leans towards bad
+};
+
 /// Wald's sequential probability ratio test of "as bad as the incumbent" against "worse by
 /// max_worse", on counts: it may be asked after every answer without losing its error bounds.
 /// Source: A. Wald, Sequential Tests of Statistical Hypotheses, 1945.
-test_verdict judge(const tally& candidate, const tally& incumbent, const test_options& options);
+evidence judge(const tally& candidate, const tally& incumbent, const test_options& options);
 
 } // namespace hickorypost::rollout
--- a/modules/rollout/src/rollout_controller.cpp
+++ b/modules/rollout/src/rollout_controller.cpp
@@ -12,8 +12,13 @@
 /// Answers reserved in the log ahead of the grants, in multiples of the bound; each reservation is
 /// one log entry, so this keeps them rare.
 constexpr std::uint64_t reserve_bounds = 4;
-/// Ratings of the incumbent that show that answers are rated at all.
+/// Ratings of the incumbent from which the rated share of answers is estimated.
 constexpr std::uint64_t ratings_in_use = 20;
+/// Error share of a test after the roll-out, against that of the roll-out's own.
+constexpr double watch_strictness = 1e-4;
+/// Evidence towards bad from which on exposure shrinks, and what it shrinks to.
+constexpr double suspicion = 1.0;
+constexpr std::uint64_t suspected_bound = 2;
 /// An entry gets at most this part of what may be granted, so that others get some too.
 constexpr std::uint64_t entry_part = 2;
 
@@ -25,7 +30,8 @@
     return out;
 }
 
-bool rated(const rollout_controller::standing& it)
+/// Whether enough ratings came in to tell which share of the answers is rated at all.
+bool sampling_known(const rollout_controller::standing& it)
 {
     return it.incumbent_ratings.answers >= ratings_in_use;
 }
@@ -114,7 +120,10 @@
     // Where answers are rated, an answer counts as judged once it is rated, or stands for one of
     // the sample that was.
     std::uint64_t judged = it.candidate_errors.answers;
-    if (rated(it)) {
+    if (it.record.rated && !sampling_known(it)) {
+        // Ratings come late. Until some are in, nothing counts as judged but what was rated.
+        judged = std::min(judged, it.candidate_ratings.answers);
+    } else if (it.record.rated) {
         const double sampling = static_cast<double>(it.incumbent_errors.answers) /
                                 static_cast<double>(it.incumbent_ratings.answers);
         const auto by_rating = static_cast<std::uint64_t>(
@@ -126,8 +135,18 @@
 
 void rollout_controller::update_bound(standing& it) const
 {
-    const auto grown =
-        static_cast<std::uint64_t>(static_cast<double>(it.judged) * (options_.growth - 1.0));
+    const test_options options = options_of(it.record);
+    const double errors = judge(it.candidate_errors, it.incumbent_errors, options).towards_bad;
+    const double ratings = judge(it.candidate_ratings, it.incumbent_ratings, options).towards_bad;
+    if (std::max(errors, ratings) > suspicion) {
+        // Ratings come late: while they point to bad, hardly anything more is risked on it.
+        it.bound = suspected_bound;
+        return;
+    }
+    // Only what was judged here earns more: answers settled for want of a verdict, or granted by an
+    // earlier leader, are no good evidence.
+    const auto grown = static_cast<std::uint64_t>(static_cast<double>(it.judged - it.settled) *
+                                                  (options_.growth - 1.0));
     it.bound = std::clamp(grown, it.record.first_answers,
                           std::max(it.record.first_answers, options_.max_bound));
 }
@@ -138,13 +157,14 @@
         return;
     }
     const test_options options = options_of(it.record);
-    const auto errors = judge(it.candidate_errors, it.incumbent_errors, options);
-    const auto ratings = judge(it.candidate_ratings, it.incumbent_ratings, options);
+    const auto errors = judge(it.candidate_errors, it.incumbent_errors, options).verdict;
+    const auto ratings = judge(it.candidate_ratings, it.incumbent_ratings, options).verdict;
     if (errors == test_verdict::bad) {
         finish(it, rollout_state::halted, "errors or slow answers");
-    } else if (rated(it) && ratings == test_verdict::bad) {
+    } else if (it.record.rated && ratings == test_verdict::bad) {
         finish(it, rollout_state::halted, "ratings");
-    } else if (errors == test_verdict::good && (!rated(it) || ratings == test_verdict::good)) {
+    } else if (errors == test_verdict::good &&
+               (!it.record.rated || ratings == test_verdict::good)) {
         finish(it, rollout_state::completed, "as good as the version before");
     }
 }
@@ -153,9 +173,12 @@
 {
     // After the roll-out the test is begun anew whenever it says good, so that a version which
     // turns bad later is met by a test without a long good past.
-    const test_options options = options_of(it.record);
-    const auto errors = judge(it.candidate_errors, it.incumbent_errors, options);
-    const auto ratings = judge(it.candidate_ratings, it.incumbent_ratings, options);
+    // It is asked for as long as the version serves, thousands of times: each time must be wrong
+    // far more seldom than a single test, or a good version would be halted in the end.
+    test_options options = options_of(it.record);
+    options.confidence = 1.0 - (1.0 - options.confidence) * watch_strictness;
+    const auto errors = judge(it.candidate_errors, it.incumbent_errors, options).verdict;
+    const auto ratings = judge(it.candidate_ratings, it.incumbent_ratings, options).verdict;
     if (errors == test_verdict::bad || ratings == test_verdict::bad) {
         finish(it, rollout_state::halted, "turned bad after the roll-out");
         return;
@@ -242,8 +265,28 @@
     return out;
 }
 
+void rollout_controller::unblock(standing& it, instant now) const
+{
+    if (it.granted <= it.judged || it.progress.state != rollout_state::running) {
+        it.progressed = now;
+        return;
+    }
+    if (it.last_judged != it.judged || it.progressed == instant{}) {
+        it.last_judged = it.judged;
+        it.progressed = now;
+    }
+    if (now >= it.progressed + options_.rating_wait) {
+        it.settled += it.granted - it.judged;
+        it.judged = it.granted;
+        it.progressed = now;
+    }
+}
+
 void rollout_controller::tick(instant now)
 {
+    for (auto& [name, it] : standings_) {
+        unblock(it, now);
+    }
     // What an entry that vanished was granted can no longer be started: entries let grants lapse
     // well before this.
     for (auto entry = entries_.begin(); entry != entries_.end();) {
--- a/modules/routing/src/router.cpp
+++ b/modules/routing/src/router.cpp
@@ -2,17 +2,25 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <limits>
 
 namespace hickorypost::routing {
 
 namespace {
 
-/// Weight of the newest answer in the running means.
-constexpr double learning_gain = 0.15;
-/// Load reports lose their weight over this time: what they told has run out by then.
-constexpr double report_half_life_us = 2e6;
+/// Weight of the newest answer in the running mean of a backend server's slowness, at most; its
+/// first answers count more.
+constexpr double learning_gain = 0.01;
+/// Weight of the newest load report in the mean of what others have there. Reports are late and the
+/// load changes faster than they come: only their average says anything.
+constexpr double report_gain = 0.02;
+/// Answers after which the first impression of a backend server counts like any other.
+constexpr double first_answers = 10;
+/// Weight of the newest answer in the mean time of whole answers.
+constexpr double total_gain = 0.005;
+constexpr double noticeable_slowness = 1.5;
+constexpr double least_slowness = 0.25;
+constexpr double most_slowness = 50;
 /// A slow-starting backend server looks at most this much busier than it is.
 constexpr double slow_start_penalty = 4.0;
 constexpr std::size_t max_prefix_homes = 1U << 18U;
@@ -143,8 +151,7 @@
         if (linked && !state->linked) {
             // What ran here before may be gone, and so may its load: begin with little.
             state->since = now;
-            state->reported = 0;
-            state->started_since_report = 0;
+            state->others = 0;
         }
         state->linked = linked;
     }
@@ -165,31 +172,35 @@
 
 double router::load_of(const backend_state& it) const
 {
-    const double corrected =
-        it.reported + static_cast<double>(std::max<std::int64_t>(0, it.started_since_report));
-    return std::max(static_cast<double>(it.own), corrected);
+    return static_cast<double>(it.own) + it.others;
 }
 
-double router::expected_us(const backend_state& it, std::uint64_t prefix, instant now) const
+double router::modelled_us(const backend_state& it, const route_query& query) const
 {
-    const double age = static_cast<double>((now - it.reported_at).count());
-    const double fade = std::exp2(-age / report_half_life_us);
-    const double own = static_cast<double>(it.own);
-    const double load = own + std::max(0.0, load_of(it) - own) * fade;
+    const auto& profile = options_.profile;
     const double slots = static_cast<double>(it.slots);
-    const double base =
-        it.answers > 0 ? it.first_us : static_cast<double>(options_.first_guess.count());
-    const double crowd = base * (1.0 + load / slots);
-    const double excess = std::max(0.0, load + 1.0 - slots);
-    const double queue = excess / slots * std::max(it.total_us, base);
-    double expected = crowd + queue;
-    if (prefix != 0 && it.prefixes.contains(prefix)) {
-        expected -= options_.prefix_saving * base;
-    }
+    const double load = load_of(it);
+    const double running = std::min(load, slots);
+    const bool cached = query.prefix != 0 && it.prefixes.contains(query.prefix);
+    const double prompt = query.prompt_tokens * profile.per_prompt_token_us *
+                          (cached ? 1.0 - profile.cached_prompt_share : 1.0);
+    // On average half a step passes until the next one begins; that one reads the prompt in.
+    const double step = profile.step_us + profile.per_sequence_us * (running + 1.0);
+    const double queue = std::max(0.0, load + 1.0 - slots) / slots * total_us_;
+    return 1.5 * step + prompt + queue;
+}
+
+double router::expected_us(const backend_state& it, const route_query& query, instant now) const
+{
+    // Small differences in measured speed are noise; following them would crowd whoever looks best.
+    const double slowness = it.slowness > noticeable_slowness ? it.slowness : 1.0;
+    double expected =
+        (modelled_us(it, query) + options_.profile.crowding_us * load_of(it)) * slowness;
     const double full = static_cast<double>(micros{options_.slow_start}.count());
     const double here = static_cast<double>((now - it.since).count());
     if (here < full) {
-        expected *= 1.0 + slow_start_penalty * (1.0 - here / full) * (load / slots);
+        const double slots = static_cast<double>(it.slots);
+        expected *= 1.0 + slow_start_penalty * (1.0 - here / full) * (load_of(it) / slots);
     }
     return expected;
 }
@@ -247,7 +258,7 @@
     case policy::expected_time:
         break;
     }
-    const auto score = [&](const backend_state& it) { return expected_us(it, query.prefix, now); };
+    const auto score = [&](const backend_state& it) { return expected_us(it, query, now); };
     if (pool.size() <= options_.samples) {
         return scan(score);
     }
@@ -285,8 +296,8 @@
         return std::nullopt;
     }
     const auto& it = *backends_[*slot];
-    const double expected = expected_us(it, query.prefix, now);
-    return route_choice{it.id, it.life, micros{static_cast<std::int64_t>(expected)}};
+    const double modelled = modelled_us(it, query);
+    return route_choice{it.id, it.life, micros{static_cast<std::int64_t>(modelled)}};
 }
 
 void router::started(const backend_id& id, std::uint64_t prefix, instant now)
@@ -296,7 +307,6 @@
         return;
     }
     ++it->own;
-    ++it->started_since_report;
     it->probing = it->failures > 0;
     if (prefix == 0) {
         return;
@@ -317,9 +327,7 @@
     if (it == nullptr) {
         return;
     }
-    const double load_then = std::max(1.0, static_cast<double>(it->own));
     it->own -= it->own > 0 ? 1U : 0U;
-    --it->started_since_report;
     it->probing = false;
     if (report.failed) {
         ++it->failures;
@@ -333,27 +341,25 @@
     if (!report.first_token) {
         return;
     }
-    const double slots = static_cast<double>(it->slots);
-    const double first =
-        static_cast<double>(report.first_token->count()) / (1.0 + load_then / slots);
     const double total = static_cast<double>(report.total.count());
-    if (it->answers == 0) {
-        it->first_us = first;
-        it->total_us = total;
-    } else {
-        it->first_us += learning_gain * (first - it->first_us);
-        it->total_us += learning_gain * (total - it->total_us);
-    }
     ++it->answers;
+    const double gain =
+        std::max(learning_gain, 1.0 / (first_answers + static_cast<double>(it->answers)));
+    total_us_ += (total_us_ == 0 ? 1.0 : total_gain) * (total - total_us_);
+    if (report.modelled_first <= micros{0}) {
+        return;
+    }
+    const double ratio = static_cast<double>(report.first_token->count()) /
+                         static_cast<double>(report.modelled_first.count());
+    it->slowness += gain * (std::clamp(ratio, least_slowness, most_slowness) - it->slowness);
 }
 
-void router::take_load(const backend_id& id, std::uint32_t running, std::uint32_t queued,
-                       instant now)
+void router::take_load(const backend_id& id, std::uint32_t running, std::uint32_t queued)
 {
     if (backend_state* it = find(id); it != nullptr) {
-        it->reported = static_cast<double>(running) + static_cast<double>(queued);
-        it->started_since_report = 0;
-        it->reported_at = now;
+        const double all = static_cast<double>(running) + static_cast<double>(queued);
+        const double others = std::max(0.0, all - static_cast<double>(it->own));
+        it->others += report_gain * (others - it->others);
     }
 }
 
--- a/src/agent_links.cpp
+++ b/src/agent_links.cpp
@@ -187,8 +187,7 @@
         return;
     case wire::message_type::load:
         if (const auto msg = wire::try_decode<wire::load>(body)) {
-            router_.take_load({from.peer().node, msg->backend}, msg->running, msg->queued,
-                              env_.now());
+            router_.take_load({from.peer().node, msg->backend}, msg->running, msg->queued);
         }
         return;
     case wire::message_type::fresh_query:
--- a/src/engine_call.cpp
+++ b/src/engine_call.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace hickorypost {
 
@@ -128,9 +129,21 @@
         g_bytes_unref(body);
     }
     auto* headers = soup_message_get_request_headers(message);
+    if (request.non_idempotent) {
+        // libsoup sends such a request on a new connection and never again by itself; the
+        // connection is of no use to any other call.
+        soup_message_headers_replace(headers, "Connection", "close");
+    } else {
+        // Without this flag libsoup opens a connection for every POST and keeps the used ones for a
+        // minute: an agent ran out of descriptors after a thousand requests.
+        soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+    }
     if (!request.traceparent.empty()) {
         soup_message_headers_replace(headers, "traceparent", request.traceparent.c_str());
     }
+    if (!request.authorization.empty()) {
+        soup_message_headers_replace(headers, "Authorization", request.authorization.c_str());
+    }
     if (!request.request_id.empty()) {
         soup_message_headers_replace(headers, "X-Request-Id", request.request_id.c_str());
     }
@@ -144,8 +157,9 @@
 
 engine_call::~engine_call()
 {
-    state_->over = true;
-    g_cancellable_cancel(state_->cancellable.get());
+    if (!std::exchange(state_->over, true)) {
+        g_cancellable_cancel(state_->cancellable.get());
+    }
 }
 
 void engine_call::cancel(wire::run_outcome why)
@@ -223,6 +237,10 @@
         return;
     }
     state.over = true;
+    if (state.stream) {
+        // libsoup takes a connection back only when its stream is closed.
+        g_input_stream_close(state.stream.get(), nullptr, nullptr);
+    }
     state.result.outcome = outcome;
     state.result.used = state.reader.usage();
     state.hooks.over(state.result);
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -122,6 +122,13 @@
     }
 }
 
+std::size_t child::open_descriptors() const
+{
+    const std::filesystem::path folder = "/proc/" + std::to_string(pid_) + "/fd";
+    return static_cast<std::size_t>(std::distance(std::filesystem::directory_iterator{folder},
+                                                  std::filesystem::directory_iterator{}));
+}
+
 deployment::deployment(bool relayed_agents) : build_{HICKORYPOST_BUILD}
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "hickorypost-XXXXXX").string();
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -31,6 +31,8 @@
     /// Waits for its end; its exit code, or nothing within the limit.
     std::optional<int> wait(std::chrono::milliseconds limit);
     void kill();
+    /// Descriptors that the process holds open.
+    [[nodiscard]] std::size_t open_descriptors() const;
 
 private:
     pid_t pid_ = -1;
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -213,6 +213,19 @@
     }));
 }
 
+// A hundred answers, one after the other. Were a connection left open by each, an agent would run
+// out of descriptors within a thousand requests and fail every later one.
+BOOST_AUTO_TEST_CASE(connections_to_engines_are_reused)
+{
+    deployment it;
+    BOOST_REQUIRE(it.start());
+    const std::size_t before = it.node("a1").open_descriptors();
+    for (int n = 0; n < 100; ++n) {
+        BOOST_TEST(whole_answer(it.chat(0, "skills@1", {}, n % 4 == 0)));
+    }
+    BOOST_TEST(it.node("a1").open_descriptors() < before + 20);
+}
+
 // What a caller does wrong is answered clearly, at once, and counts for nothing.
 BOOST_AUTO_TEST_CASE(mistakes_get_a_clear_status)
 {
--- a/tools/experiment/fleet_run.cpp
+++ b/tools/experiment/fleet_run.cpp
@@ -28,6 +28,7 @@
     instant sent;
     instant begun;
     instant first;
+    micros modelled_first{0};
     std::size_t replica = 0;
     std::uint32_t tries = 0;
     std::vector<routing::backend_id> tried;
@@ -201,13 +202,14 @@
     {
         request& r = requests_.at(id);
         auto& router = entries_[r.entry]->router;
-        const auto choice = router.choose({{"m", "1"}, r.prefix, r.tried}, now_);
+        const auto choice = router.choose({{"m", "1"}, r.prefix, r.prompt_tokens, r.tried}, now_);
         if (!choice) {
             reject(id);
             return;
         }
         ++r.tries;
         r.sent = now_;
+        r.modelled_first = choice->modelled_first;
         r.replica = std::strtoull(choice->backend.agent.c_str() + 1, nullptr, 10);
         router.started(choice->backend, r.prefix, now_);
         at(net(), [this, id] { offer(id); });
@@ -226,6 +228,7 @@
         routing::attempt_report report;
         report.failed = failed;
         report.total = now_ - r.sent;
+        report.modelled_first = r.modelled_first;
         if (answered) {
             report.first_token = r.first - r.sent;
         }
@@ -310,7 +313,7 @@
         // Load rides on answers; the engines' own figures lag by the scenario's setting.
         const micros lag{static_cast<std::int64_t>(scenario_.report_lag_ms * us_per_ms)};
         at(lag, [this, entry = r.entry, replica = r.replica, running, queued] {
-            entries_[entry]->router.take_load(id_of(replica), running, queued, now_);
+            entries_[entry]->router.take_load(id_of(replica), running, queued);
         });
         ended(id, false, true);
         if (r.counted) {
@@ -333,7 +336,7 @@
             const auto queued = static_cast<std::uint32_t>(replicas_[n].queue.waiting());
             at(lag, [this, n, running, queued] {
                 for (auto& entry : entries_) {
-                    entry->router.take_load(id_of(n), running, queued, now_);
+                    entry->router.take_load(id_of(n), running, queued);
                 }
             });
         }
--- a/tools/experiment/rollout_run.cpp
+++ b/tools/experiment/rollout_run.cpp
@@ -164,6 +164,7 @@
         if (how_ != rollout_policy::sequential) {
             return;
         }
+        controller_.tick(at(now));
         if (std::exchange(follow_due_, false)) {
             controller_.follow(state_);
         }
