--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -11,6 +11,7 @@
   if(tests)
     hickorypost_test(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE hickorypost_${name})
+    target_compile_definitions(test_${name} PRIVATE HICKORYPOST_TEST_DATA="${dir}/tests/data")
   endif()
 endfunction()
 
--- a/modules/net/src/connector.cpp
+++ b/modules/net/src/connector.cpp
@@ -73,8 +73,12 @@
         return;
     }
     GError* raw = nullptr;
+    // The peer's certificate must name the address that was dialled: another process of the system,
+    // with a certificate of its own, must not pass for this one.
+    const gobject_ptr<GSocketConnectable> identity{
+        g_network_address_new(address_.host.c_str(), address_.port)};
     gobject_ptr<GIOStream> secured{
-        g_tls_client_connection_new(G_IO_STREAM(connection.get()), nullptr, &raw)};
+        g_tls_client_connection_new(G_IO_STREAM(connection.get()), identity.get(), &raw)};
     if (!secured) {
         const gerror_ptr error{raw};
         retry_later();
--- a/modules/net/src/listener.cpp
+++ b/modules/net/src/listener.cpp
@@ -14,6 +14,12 @@
     gobject_ptr<GIOStream> stream;
 };
 
+/// GLib leaves a client's certificate to this handler even where it found no fault in it.
+gboolean accept_faultless(GTlsConnection*, GTlsCertificate*, GTlsCertificateFlags faults, gpointer)
+{
+    return faults == 0 ? TRUE : FALSE;
+}
+
 void on_accept_handshaken(GObject* source, GAsyncResult* outcome, gpointer data)
 {
     std::unique_ptr<pending_accept> pending{static_cast<pending_accept*>(data)};
@@ -99,6 +105,7 @@
     }
     auto* tls = G_TLS_CONNECTION(secured.get());
     g_tls_connection_set_database(tls, tls_->authority());
+    g_signal_connect(tls, "accept-certificate", G_CALLBACK(accept_faultless), nullptr);
     g_object_set(secured.get(), "authentication-mode", G_TLS_AUTHENTICATION_REQUIRED, nullptr);
     auto* pending = new pending_accept;
     pending->done = [this](gobject_ptr<GIOStream> stream) { accept(std::move(stream)); };
--- /dev/null
+++ b/modules/net/tests/link_test.cpp
@@ -0,0 +1,153 @@
+#include "hickorypost/net/listener.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::net;
+
+constexpr millis patience{20'000};
+
+wire::hello hello_of(const char* name)
+{
+    return {.node = name, .life = 1};
+}
+
+/// Turns the main context until the condition holds; false if it does not within the limit.
+bool turn_until(const std::function<bool()>& done)
+{
+    bool late = false;
+    const timer limit = timer::once(patience, [&] { late = true; });
+    while (!done() && !late) {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    return done();
+}
+
+std::optional<tls_identity> identity(const std::string& name, const std::string& authority)
+{
+    const std::string folder = HICKORYPOST_TEST_DATA;
+    return value_or_handle<tls_error>(
+        [&]() -> result<std::optional<tls_identity>> {
+            BOOST_LEAF_AUTO(it, tls_identity::load(folder + "/" + name + ".pem",
+                                                   folder + "/" + name + ".key",
+                                                   folder + "/" + authority + ".pem"));
+            return std::optional{std::move(it)};
+        },
+        [](const tls_error& error) {
+            BOOST_TEST_MESSAGE(error.path << ": " << error.detail);
+            return std::optional<tls_identity>{};
+        });
+}
+
+/// A listener that echoes records, and a connector to it.
+struct pair_of_links {
+    std::size_t echoed = 0;
+    std::size_t ups = 0;
+    std::size_t downs = 0;
+    std::string last;
+    std::unique_ptr<listener> server;
+    std::unique_ptr<connector> client;
+
+    pair_of_links(const tls_identity* server_tls, const tls_identity* client_tls,
+                  link_options server_options = {}, link_options client_options = {})
+    {
+        link_hooks echo;
+        echo.up = [](net::link&) {};
+        echo.message = [](net::link& from, wire::message_type, std::string_view body) {
+            if (const auto msg = wire::try_decode<wire::piece>(body)) {
+                from.send(*msg);
+            }
+        };
+        echo.down = [](net::link&, std::string_view) {};
+        server = value_or_handle<listen_error>(
+            [&] {
+                return listener::open({"127.0.0.1", 0}, hello_of("server"), server_tls,
+                                      server_options, echo);
+            },
+            [](const listen_error&) { return std::unique_ptr<listener>{}; });
+        link_hooks hooks;
+        hooks.up = [this](net::link&) { ++ups; };
+        hooks.message = [this](net::link&, wire::message_type, std::string_view body) {
+            last = wire::try_decode<wire::piece>(body)->bytes;
+            ++echoed;
+        };
+        hooks.down = [this](net::link&, std::string_view) { ++downs; };
+        connector_options options;
+        options.link = client_options;
+        client = std::make_unique<connector>(peer_address{"127.0.0.1", server->port()},
+                                             hello_of("client"), client_tls, options,
+                                             seeded_random_fn(1), std::move(hooks));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(links)
+
+BOOST_AUTO_TEST_CASE(messages_of_any_size_arrive_whole)
+{
+    pair_of_links it{nullptr, nullptr};
+    BOOST_REQUIRE(turn_until([&] { return it.client->current() != nullptr; }));
+    const std::string large(5'000'000, 'x');
+    it.client->current()->send(wire::piece{1, 0, large});
+    it.client->current()->send(wire::piece{1, 0, "small"});
+    BOOST_TEST(turn_until([&] { return it.echoed == 2; }));
+    BOOST_TEST(it.last == "small");
+}
+
+BOOST_AUTO_TEST_CASE(tls_carries_links_between_known_processes)
+{
+    const auto one = identity("one", "ca");
+    BOOST_REQUIRE(one.has_value());
+    pair_of_links it{&*one, &*one};
+    BOOST_REQUIRE(turn_until([&] { return it.client->current() != nullptr; }));
+    it.client->current()->send(wire::piece{1, 0, std::string(300'000, 'y')});
+    BOOST_TEST(turn_until([&] { return it.echoed == 1; }));
+}
+
+// A process with a certificate of another authority dials in. It must not get as far as hello, or
+// anyone on the network could speak to agents and control hosts.
+BOOST_AUTO_TEST_CASE(strangers_do_not_get_a_link)
+{
+    const auto one = identity("one", "ca");
+    const auto other = identity("other", "ca");
+    BOOST_REQUIRE(one.has_value());
+    BOOST_REQUIRE(other.has_value());
+    pair_of_links stranger{&*one, &*other};
+    pair_of_links known{&*one, &*one};
+    BOOST_REQUIRE(turn_until([&] { return known.client->current() != nullptr; }));
+    known.client->current()->send(wire::piece{1, 0, "z"});
+    BOOST_TEST(turn_until([&] { return known.echoed == 1; }));
+    if (auto* link = stranger.client->current(); link != nullptr) {
+        link->send(wire::piece{1, 0, "z"});
+    }
+    BOOST_TEST(stranger.echoed == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_frame_larger_than_allowed_ends_the_link)
+{
+    link_options small;
+    small.max_frame_bytes = 1000;
+    pair_of_links it{nullptr, nullptr, small};
+    BOOST_REQUIRE(turn_until([&] { return it.client->current() != nullptr; }));
+    it.client->current()->send(wire::piece{1, 0, std::string(2000, 'x')});
+    BOOST_TEST(turn_until([&] { return it.downs == 1; }));
+    BOOST_TEST(it.echoed == 0U);
+}
+
+// The peer neither answers nor closes: something between has lost the connection. The link is taken
+// for dead and a new one is made.
+BOOST_AUTO_TEST_CASE(a_silent_link_is_replaced)
+{
+    link_options mute;
+    mute.heartbeat = millis{60'000};
+    link_options impatient;
+    impatient.heartbeat = millis{50};
+    impatient.silence_limit = millis{200};
+    pair_of_links it{nullptr, nullptr, mute, impatient};
+    BOOST_TEST(turn_until([&] { return it.downs >= 1 && it.ups >= 2; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -44,7 +44,7 @@
         if (std::chrono::steady_clock::now() >= end) {
             return false;
         }
-        std::this_thread::sleep_until(std::chrono::steady_clock::now() + poll_period);
+        std::this_thread::sleep_until(std::chrono::steady_clock::now() + poll_period); // bounded
     }
     return true;
 }
@@ -59,8 +59,10 @@
         where.sin_family = AF_INET;
         where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof where;
-        ::bind(held.back(), reinterpret_cast<const sockaddr*>(&where), size);
-        ::getsockname(held.back(), reinterpret_cast<sockaddr*>(&where), &size);
+        auto* raw = reinterpret_cast<sockaddr*>(&where);
+        if (::bind(held.back(), raw, size) != 0 || ::getsockname(held.back(), raw, &size) != 0) {
+            std::abort();
+        }
         out.push_back(ntohs(where.sin_port));
     }
     for (const int fd : held) {
--- a/tools/experiment/experiment.cpp
+++ b/tools/experiment/experiment.cpp
@@ -49,7 +49,7 @@
 
 class table {
 public:
-    table(bool csv, std::vector<std::string> head) : csv_{csv} { row(head); }
+    table(bool csv, const std::vector<std::string>& head) : csv_{csv} { row(head); }
     void row(const std::vector<std::string>& cells) const
     {
         for (std::size_t n = 0; n < cells.size(); ++n) {
