--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -72,6 +72,9 @@
     if (const char* key = std::getenv("HICKORYPOST_OPERATOR_KEY"); key != nullptr) {
         out.key = key;
     }
+    if (const char* authority = std::getenv("HICKORYPOST_AUTHORITY"); authority != nullptr) {
+        out.authority = authority;
+    }
 }
 
 operator_options parse_options(std::span<char*> args)
