--- a/modules/dispatch/include/hickorypost/dispatch/request_flow.h
+++ b/modules/dispatch/include/hickorypost/dispatch/request_flow.h
@@ -76,7 +76,7 @@
 
     // The answer.
     void add_line(const wire::finished& msg);
-    void judge_stage(const wire::finished& msg);
+    void judge_stage();
     void escalate_or_deliver(std::optional<double> rating);
     void deliver_complete();
     void bill(ledger::request_outcome outcome);
--- a/modules/dispatch/src/request_answer.cpp
+++ b/modules/dispatch/src/request_answer.cpp
@@ -133,7 +133,7 @@
         return;
     }
     if (msg.outcome == wire::run_outcome::complete) {
-        judge_stage(msg);
+        judge_stage();
         return;
     }
     if (backend_fault) {
@@ -250,7 +250,7 @@
                    });
 }
 
-void request_flow::judge_stage(const wire::finished&)
+void request_flow::judge_stage()
 {
     const bool last = stage_ + 1 >= stages_.size();
     if (!cascade_ || non_idempotent_ || !services_.rated()) {
--- a/modules/wire/include/hickorypost/wire/codec.h
+++ b/modules/wire/include/hickorypost/wire/codec.h
@@ -19,7 +19,7 @@
 namespace hickorypost::wire {
 
 /// Why bytes could not be read as a message.
-enum class codec_error { malformed, wrong_type, trailing_bytes };
+enum class codec_error { malformed, wrong_type };
 
 std::string_view describe(codec_error error) noexcept;
 
--- a/modules/wire/src/codec.cpp
+++ b/modules/wire/src/codec.cpp
@@ -11,8 +11,6 @@
         return "bytes are not one well-formed msgpack value";
     case codec_error::wrong_type:
         return "a field has another type than the message declares";
-    case codec_error::trailing_bytes:
-        return "bytes follow the message";
     }
     return "unknown codec error";
 }
--- a/src/agent_role.cpp
+++ b/src/agent_role.cpp
@@ -199,7 +199,7 @@
         return;
     case wire::message_type::fresh_reply:
         if (const auto msg = wire::try_decode<wire::fresh_reply>(body)) {
-            control_.take_peer_mark(*msg);
+            control_.take_fresh(*msg);
         }
         return;
     default:
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -175,11 +175,6 @@
     }
 }
 
-void control_client::take_peer_mark(const wire::fresh_reply& reply)
-{
-    take_fresh(reply);
-}
-
 void control_client::follow_directory()
 {
     follows_directory_ = true;
--- a/src/control_client.h
+++ b/src/control_client.h
@@ -62,7 +62,8 @@
 
     /// Asks for the directory now; entries only.
     void follow_directory();
-    void take_peer_mark(const wire::fresh_reply& reply);
+    /// An answer to a question of ours, from a control host or a peer.
+    void take_fresh(const wire::fresh_reply& reply);
 
     [[nodiscard]] const records::record_replica& records() const noexcept { return replica_; }
     [[nodiscard]] bool fresh() const { return replica_.fresh(env_.now()); }
@@ -93,7 +94,6 @@
     void transmit(std::uint64_t id, pending_write& it);
     void sweep();
     void ask_fresh();
-    void take_fresh(const wire::fresh_reply& reply);
     net::link* link_for(std::uint32_t group, std::size_t tries);
 
     const runtime& env_;
--- a/src/entry_role.cpp
+++ b/src/entry_role.cpp
@@ -35,7 +35,7 @@
               {[this](net::link& from, const wire::fresh_query& query) {
                    from.send(control_.records().answer(query, env_.now()));
                },
-               [this](const wire::fresh_reply& reply) { control_.take_peer_mark(reply); }}},
+               [this](const wire::fresh_reply& reply) { control_.take_fresh(reply); }}},
       ledger_{env, control_}, services_{make_services()}
 {
 }
