--- a/modules/base/include/hickorypost/base/time.h
+++ b/modules/base/include/hickorypost/base/time.h
@@ -29,6 +29,9 @@
 
 /// The process's own clocks and random source, for use by roles only.
 clock_fn system_clock_fn();
+/// Like the monotonic clock, but it goes on while the machine is suspended. For what is timed
+/// against other hosts: a lease must not seem valid after a sleep that outlasted it.
+clock_fn boot_clock_fn();
 wall_clock_fn system_wall_clock_fn();
 random_fn system_random_fn();
 
--- a/modules/base/src/time.cpp
+++ b/modules/base/src/time.cpp
@@ -1,5 +1,6 @@
 #include "hickorypost/base/time.h"
 
+#include <ctime>
 #include <memory>
 #include <random>
 
@@ -13,6 +14,16 @@
     };
 }
 
+clock_fn boot_clock_fn()
+{
+    return [] {
+        timespec it{};
+        clock_gettime(CLOCK_BOOTTIME, &it);
+        return instant{std::chrono::duration_cast<micros>(std::chrono::seconds{it.tv_sec} +
+                                                          std::chrono::nanoseconds{it.tv_nsec})};
+    };
+}
+
 wall_clock_fn system_wall_clock_fn()
 {
     return [] {
--- /dev/null
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "hickorypost/base/result.h"
+#include "hickorypost/net/poller.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickorypost::net {
+
+/// An IPv4 address with a port, checked.
+struct endpoint {
+    std::uint32_t ip = 0; ///< network byte order
+    std::uint16_t port = 0;
+
+    static std::optional<endpoint> parse(std::string_view text);
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+/// How a stream ended on the other side.
+enum class stream_end : std::uint8_t {
+    finished, ///< the peer closed in good order
+    failed,   ///< reset, timed out, or never connected
+};
+
+/// A byte stream over TCP on a `poller`. Owns its socket.
+///
+/// What is written in one turn of the main context leaves in one system call. Silence is noticed by
+/// keep-alive probes and by unacknowledged bytes (TCP_USER_TIMEOUT): a connection that something
+/// between the two ends has forgotten would otherwise hang for ever.
+class tcp_stream final : public pollable {
+public:
+    struct hooks {
+        std::function<void()> connected;
+        std::function<void(std::string_view)> bytes;
+        std::function<void()> drained; ///< nothing unsent is left, after a write that had to wait
+        std::function<void(stream_end)> ended; ///< once; nothing follows
+    };
+
+    /// Begins to connect; `ended` is called later if that fails.
+    static std::unique_ptr<tcp_stream> connect(poller& on, const endpoint& to,
+                                               millis silence_limit);
+    /// Takes over an accepted, non-blocking socket.
+    static std::unique_ptr<tcp_stream> adopt(poller& on, int fd, millis silence_limit);
+
+    ~tcp_stream() override;
+    tcp_stream(const tcp_stream&) = delete;
+    tcp_stream& operator=(const tcp_stream&) = delete;
+
+    /// Bytes and ends arrive only once the hooks are set. A hook may destroy the stream.
+    void set_hooks(hooks to);
+    void write(std::string_view bytes);
+    /// Sends what is unsent as far as the kernel takes it, then closes.
+    void close();
+    /// Stops or resumes taking bytes; ends are noticed all the same.
+    void set_reading(bool on);
+
+    [[nodiscard]] std::size_t unsent() const noexcept { return out_.size() - written_; }
+    /// Some bytes were handed to the kernel, so the peer may have read them.
+    [[nodiscard]] bool sent_any() const noexcept { return sent_any_; }
+    [[nodiscard]] bool open() const noexcept { return fd_ >= 0; }
+
+    void ready(std::uint32_t events) override;
+    void flush() override;
+
+private:
+    tcp_stream(poller& on, int fd, bool connected);
+    void set_options(millis silence_limit) const;
+    void guarded(const std::function<void()>& body);
+    void take_events(std::uint32_t events);
+    void write_out();
+    void read_all();
+    void end(stream_end how);
+    void release();
+
+    poller* poller_;
+    int fd_;
+    hooks hooks_;
+    hooks retired_; ///< replaced hooks, one of which may be running
+    std::string out_;
+    std::size_t written_ = 0;
+    bool connected_;
+    bool reading_ = true;
+    bool readable_ = false;
+    bool peer_closed_ = false;
+    bool blocked_ = false;
+    bool sent_any_ = false;
+    /// Set while hooks run, so that a destroyed stream is noticed.
+    bool* destroyed_ = nullptr;
+};
+
+/// Accepts connections on a port.
+class tcp_listener final : public pollable {
+public:
+    using accept_fn = std::function<void(int fd)>;
+
+    /// Gives nothing if the address cannot be listened on; errno tells why. Port 0 picks one.
+    static std::unique_ptr<tcp_listener> open(poller& on, const endpoint& at, accept_fn accept);
+    ~tcp_listener() override;
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+    void ready(std::uint32_t events) override;
+
+private:
+    tcp_listener(poller& on, int fd, accept_fn accept);
+
+    poller* poller_;
+    int fd_;
+    accept_fn accept_;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace hickorypost::net
--- a/modules/net/src/connector.cpp
+++ b/modules/net/src/connector.cpp
@@ -23,6 +23,9 @@
     g_socket_client_set_timeout(client_.get(),
                                 static_cast<guint>(std::max<std::int64_t>(
                                     1, options_.connect_limit.count() / millis_per_second)));
+    // Links go straight to an IP address. Looking for a proxy loads the desktop's settings, which
+    // costs start-up time and wants a writable home folder.
+    g_socket_client_set_enable_proxy(client_.get(), FALSE);
     connect();
 }
 
--- /dev/null
+++ b/modules/net/src/tcp_stream.cpp
@@ -0,0 +1,332 @@
+#include "hickorypost/net/tcp_stream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace hickorypost::net {
+
+namespace {
+
+constexpr std::size_t read_chunk = std::size_t{32} << 10U;
+/// Of connections that wait to be accepted; a full queue costs a caller seconds.
+constexpr int accept_backlog = 1024;
+constexpr int millis_per_second = 1000;
+/// Probes without an answer after which a silent connection is dead.
+constexpr int keepalive_probes = 2;
+
+void set_int(int fd, int level, int name, int value)
+{
+    // Refusal costs only the option's effect; the connection works without it.
+    (void)setsockopt(fd, level, name, &value, sizeof value);
+}
+
+sockaddr_in address_of(const endpoint& it)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(it.port);
+    out.sin_addr.s_addr = it.ip;
+    return out;
+}
+
+} // namespace
+
+std::optional<endpoint> endpoint::parse(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    endpoint out;
+    const std::string host{text.substr(0, colon)};
+    const std::string_view digits = text.substr(colon + 1);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), out.port);
+    if (ec != std::errc{} || end != digits.data() + digits.size() ||
+        inet_pton(AF_INET, host.c_str(), &out.ip) != 1) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+tcp_stream::tcp_stream(poller& on, int fd, bool connected)
+    : poller_{&on}, fd_{fd}, connected_{connected}
+{
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::connect(poller& on, const endpoint& to,
+                                                millis silence_limit)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    std::unique_ptr<tcp_stream> out{new tcp_stream{on, fd, false}};
+    if (fd < 0) {
+        return out;
+    }
+    out->set_options(silence_limit);
+    const sockaddr_in address = address_of(to);
+    // A failure shows as EPOLLERR once the socket is watched.
+    (void)::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    on.add(fd, *out);
+    return out;
+}
+
+std::unique_ptr<tcp_stream> tcp_stream::adopt(poller& on, int fd, millis silence_limit)
+{
+    std::unique_ptr<tcp_stream> out{new tcp_stream{on, fd, true}};
+    out->set_options(silence_limit);
+    on.add(fd, *out);
+    return out;
+}
+
+tcp_stream::~tcp_stream()
+{
+    if (destroyed_ != nullptr) {
+        *destroyed_ = true;
+    }
+    release();
+}
+
+void tcp_stream::set_options(millis silence_limit) const
+{
+    const int limit = static_cast<int>(silence_limit.count());
+    const int interval = std::max(1, limit / millis_per_second / (keepalive_probes + 1));
+    set_int(fd_, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_int(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, limit);
+    set_int(fd_, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_int(fd_, IPPROTO_TCP, TCP_KEEPIDLE, interval);
+    set_int(fd_, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+    set_int(fd_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+void tcp_stream::release()
+{
+    if (fd_ < 0) {
+        return;
+    }
+    poller_->remove(fd_, *this);
+    ::close(fd_);
+    fd_ = -1;
+}
+
+void tcp_stream::set_hooks(hooks to)
+{
+    if (hooks_.bytes || hooks_.ended || hooks_.connected || hooks_.drained) {
+        retired_ = std::exchange(hooks_, {});
+    }
+    hooks_ = std::move(to);
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    if (fd_ < 0) {
+        return;
+    }
+    out_.append(bytes);
+    if (connected_ && !blocked_) {
+        poller_->flush_later(*this);
+    }
+}
+
+void tcp_stream::flush()
+{
+    write_out();
+    if (fd_ >= 0 && readable_ && reading_) {
+        guarded([this] { read_all(); });
+    }
+}
+
+void tcp_stream::write_out()
+{
+    while (fd_ >= 0 && connected_ && written_ < out_.size()) {
+        const ssize_t n = send(fd_, out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+        if (n > 0) {
+            sent_any_ = true;
+            written_ += static_cast<std::size_t>(n);
+            continue;
+        }
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        blocked_ = n < 0 && errno == EAGAIN;
+        if (!blocked_) {
+            // The reading side tells how the stream ended; unsent bytes have nowhere to go.
+            out_.clear();
+            written_ = 0;
+        }
+        return;
+    }
+    const bool had_to_wait = std::exchange(blocked_, false);
+    out_.clear();
+    written_ = 0;
+    if (had_to_wait && hooks_.drained) {
+        hooks_.drained();
+    }
+}
+
+void tcp_stream::close()
+{
+    set_hooks({});
+    write_out();
+    release();
+}
+
+void tcp_stream::set_reading(bool on)
+{
+    reading_ = on;
+    if (on && readable_ && fd_ >= 0) {
+        poller_->flush_later(*this); // not now: the caller may be in the middle of a hook
+    }
+}
+
+void tcp_stream::end(stream_end how)
+{
+    release();
+    // The hook may destroy this stream, and with it the hooks.
+    const auto ended = std::move(hooks_.ended);
+    set_hooks({});
+    if (ended) {
+        ended(how);
+    }
+}
+
+void tcp_stream::guarded(const std::function<void()>& body)
+{
+    bool gone = false;
+    bool* const outer = std::exchange(destroyed_, &gone);
+    body();
+    if (!gone) {
+        destroyed_ = outer;
+    } else if (outer != nullptr) {
+        *outer = true;
+    }
+}
+
+void tcp_stream::ready(std::uint32_t events)
+{
+    guarded([this, events] { take_events(events); });
+}
+
+void tcp_stream::take_events(std::uint32_t events)
+{
+    const bool* const gone = destroyed_;
+    const bool broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
+    if (broken && !connected_) {
+        return end(stream_end::failed);
+    }
+    if ((events & EPOLLOUT) != 0 && !connected_) {
+        connected_ = true;
+        if (hooks_.connected) {
+            hooks_.connected();
+        }
+        if (*gone) {
+            return;
+        }
+        write_out();
+    } else if ((events & EPOLLOUT) != 0 && blocked_) {
+        write_out();
+    }
+    if (*gone) {
+        return;
+    }
+    if (broken || (events & EPOLLRDHUP) != 0) {
+        peer_closed_ = true;
+    }
+    if (peer_closed_ || (events & EPOLLIN) != 0) {
+        readable_ = true;
+    }
+    if (readable_ && (reading_ || peer_closed_)) {
+        read_all();
+    }
+}
+
+void tcp_stream::read_all()
+{
+    std::array<char, read_chunk> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    while (fd_ >= 0 && (reading_ || peer_closed_)) {
+        const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
+        if (n > 0) {
+            const bool* const gone = destroyed_;
+            if (hooks_.bytes) {
+                hooks_.bytes({buf.data(), static_cast<std::size_t>(n)});
+            }
+            if (*gone) {
+                return;
+            }
+            // A short read has emptied the socket; its next bytes raise another event.
+            if (static_cast<std::size_t>(n) < buf.size() && !peer_closed_) {
+                readable_ = false;
+                return;
+            }
+            continue;
+        }
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0 && errno == EAGAIN) {
+            readable_ = false;
+            return;
+        }
+        end(n == 0 ? stream_end::finished : stream_end::failed);
+        return;
+    }
+}
+
+tcp_listener::tcp_listener(poller& on, int fd, accept_fn accept)
+    : poller_{&on}, fd_{fd}, accept_{std::move(accept)}
+{
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    if (getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size) == 0) {
+        port_ = ntohs(bound.sin_port);
+    }
+}
+
+std::unique_ptr<tcp_listener> tcp_listener::open(poller& on, const endpoint& at, accept_fn accept)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return nullptr;
+    }
+    set_int(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    const sockaddr_in address = address_of(at);
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+        listen(fd, accept_backlog) != 0) {
+        const int why = errno;
+        ::close(fd);
+        errno = why;
+        return nullptr;
+    }
+    std::unique_ptr<tcp_listener> out{new tcp_listener{on, fd, std::move(accept)}};
+    on.add(fd, *out);
+    return out;
+}
+
+tcp_listener::~tcp_listener()
+{
+    poller_->remove(fd_, *this);
+    ::close(fd_);
+}
+
+void tcp_listener::ready(std::uint32_t)
+{
+    while (true) {
+        const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            if (errno == EINTR || errno == ECONNABORTED) {
+                continue;
+            }
+            return;
+        }
+        accept_(fd);
+    }
+}
+
+} // namespace hickorypost::net
