[replog, wire] Founders named later, spare hosts take silent voters' places, confirmed reads

Cause: on the users' platform a process knows three addresses and not which hosts have disks, clocks may stand still, and a second host may be lost four seconds after the first. set_founders names the founding set once it is known; a learner that has all the log takes the place of a voter that has been silent for replace_silent_after; read_confirmed waits for a quorum's answer that was sent after the read began, so it trusts no clock.

--- a/modules/replog/include/hickorypost/replog/group.h
+++ b/modules/replog/include/hickorypost/replog/group.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace hickorypost::replog {
 
@@ -46,11 +47,15 @@
     void propose(std::string command, std::int64_t wall_ms, instant now, answer_fn done);
     /// Linearizable: only the leader under a valid lease answers.
     void read(std::string_view query, instant now, const answer_fn& done);
+    /// Like `read`, without trust in clocks: answered once a quorum has confirmed, after the call
+    /// began, that this replica leads. For hosts whose clocks may stand still.
+    void read_confirmed(std::string_view query, instant now, answer_fn done);
     void hand_over(instant now);
 
     [[nodiscard]] bool leads(instant now) const { return core_->lease_valid(now); }
     [[nodiscard]] std::uint64_t applied_index() const noexcept { return applied_; }
     [[nodiscard]] const replica& core() const noexcept { return *core_; }
+    [[nodiscard]] replica& core() noexcept { return *core_; }
     [[nodiscard]] const state_machine& machine() const noexcept { return *machine_; }
     [[nodiscard]] state_machine& machine() noexcept { return *machine_; }
 
@@ -60,7 +65,14 @@
         answer_fn done;
     };
 
+    struct pending_read {
+        instant since;
+        std::string query;
+        answer_fn done;
+    };
+
     void pump();
+    void answer_reads();
     void apply(const entry& it);
     void fail_pending();
 
@@ -69,6 +81,7 @@
     group_hooks hooks_;
     group_options options_;
     std::unordered_map<std::uint64_t, pending_proposal> pending_;
+    std::vector<pending_read> reads_;
     std::uint64_t applied_ = 0;
     std::uint64_t snapshot_index_ = 0;
     bool pumping_ = false;
--- a/modules/replog/include/hickorypost/replog/replica.h
+++ b/modules/replog/include/hickorypost/replog/replica.h
@@ -42,6 +42,19 @@
     void hand_over(instant now);
     /// Adds hosts to speak to, besides founders and members (a replacement host).
     void add_contact(const node_id& node);
+    /// Names the founding hosts of a group whose hosts are not known at the start. Only for a disk
+    /// that is still fresh; the first of them founds.
+    void set_founders(std::vector<node_id> founders);
+    /// True once a host has shown that the group exists already: it must not be founded again.
+    [[nodiscard]] bool group_exists() const noexcept
+    {
+        return group_exists_ || role_ != replica_role::fresh;
+    }
+    /// Asks the followers for a sign at once, for `confirmed_since`.
+    void ask_confirmation(instant now);
+    /// True if a quorum has answered something that this leader sent at `since` or later: until
+    /// then no other leader had been elected, whatever the clocks of the hosts say.
+    [[nodiscard]] bool confirmed_since(instant since) const;
 
     effects take_effects();
 
@@ -94,6 +107,14 @@
     [[nodiscard]] std::set<node_id> contacts() const;
     void propose_config(const group_config& config, instant now);
     void consider_membership(instant now);
+    bool admit_learner(instant now);
+    bool promote_learner(instant now);
+    [[nodiscard]] bool is_listed(const node_id& node) const;
+    [[nodiscard]] bool is_silent(const member& who, instant now) const;
+    [[nodiscard]] std::size_t wanted_voters() const noexcept
+    {
+        return options_.voters > 0 ? options_.voters : founders_.size();
+    }
     void handle_probe(const message& msg, instant now);
     void handle_probe_reply(const message& msg, instant now);
     void handle_found(const message& msg, instant now);
@@ -121,6 +142,8 @@
     void deliver_committed();
     void rebuild_progress(instant now);
     void check_quorum(instant now);
+    /// When the oldest message was sent that a quorum has answered or outdone; `own`: for this one.
+    [[nodiscard]] std::optional<instant> quorum_heard(instant own) const;
 
     // Effects.
     persist_batch& open_batch();
@@ -150,6 +173,7 @@
     std::uint64_t persisted_index_ = 0;
     std::uint64_t term_start_index_ = 0;
     bool lease_given_up_ = false;
+    bool group_exists_ = false;
 
     instant last_heard_leader_;
     instant election_due_;
--- a/modules/replog/include/hickorypost/replog/types.h
+++ b/modules/replog/include/hickorypost/replog/types.h
@@ -131,6 +131,13 @@
     std::size_t retained_entries = 4096;
     /// Append messages with entries that may be unanswered per follower.
     std::size_t max_inflight = 8;
+    /// Voters wanted; 0: as many as there are founders.
+    std::size_t voters = 0;
+    /// Any host that shows a fresh disk may join, not only those that are listed.
+    bool admit_any_host = false;
+    /// A voter that has been silent for this long gives its vote to a learner that has all the log.
+    /// Until then the loss of a second voter would stop the group. 0: never.
+    millis replace_silent_after{0};
 };
 
 } // namespace hickorypost::replog
--- a/modules/replog/src/group.cpp
+++ b/modules/replog/src/group.cpp
@@ -54,6 +54,30 @@
     done({group_status::done, core_->self().node, machine_->read(query)});
 }
 
+void group::read_confirmed(std::string_view query, instant now, answer_fn done)
+{
+    if (core_->role() != replica_role::leader) {
+        done({group_status::not_leader, core_->leader(), {}});
+        return;
+    }
+    reads_.push_back({now, std::string{query}, std::move(done)});
+    core_->ask_confirmation(now);
+    pump();
+}
+
+void group::answer_reads()
+{
+    for (std::size_t n = 0; n < reads_.size();) {
+        if (!core_->confirmed_since(reads_[n].since) || applied_ < core_->commit_index()) {
+            ++n;
+            continue;
+        }
+        const pending_read it = std::move(reads_[n]);
+        reads_.erase(reads_.begin() + static_cast<std::ptrdiff_t>(n));
+        it.done({group_status::done, core_->self().node, machine_->read(it.query)});
+    }
+}
+
 void group::hand_over(instant now)
 {
     core_->hand_over(now);
@@ -92,7 +116,8 @@
         }
     }
     pumping_ = false;
-    if (core_->role() != replica_role::leader && !pending_.empty()) {
+    answer_reads();
+    if (core_->role() != replica_role::leader && !(pending_.empty() && reads_.empty())) {
         fail_pending();
     }
 }
@@ -122,6 +147,10 @@
     for (auto& [index, it] : waiting) {
         it.done({group_status::unavailable, core_->leader(), {}});
     }
+    const auto reads = std::exchange(reads_, {});
+    for (const auto& it : reads) {
+        it.done({group_status::unavailable, core_->leader(), {}});
+    }
 }
 
 } // namespace hickorypost::replog
--- a/modules/replog/src/replica_election.cpp
+++ b/modules/replog/src/replica_election.cpp
@@ -151,15 +151,12 @@
     broadcast(now, true);
 }
 
-bool replica::lease_valid(instant now) const
+std::optional<instant> replica::quorum_heard(instant own) const
 {
-    if (role_ != replica_role::leader || lease_given_up_ || commit_ < term_start_index_) {
-        return false;
-    }
     std::vector<instant> heard;
     for (const auto& it : config_.voters) {
         if (it == self_) {
-            heard.push_back(now);
+            heard.push_back(own);
         } else if (const auto peer = peers_.find(it); peer != peers_.end()) {
             heard.push_back(peer->second.lease_from);
         } else {
@@ -167,16 +164,41 @@
         }
     }
     if (heard.size() < quorum()) {
-        return false;
+        return std::nullopt;
     }
     const auto nth = heard.begin() + static_cast<std::ptrdiff_t>(quorum() - 1);
     std::nth_element(heard.begin(), nth, heard.end(), std::greater<>{});
+    return *nth == instant{} ? std::nullopt : std::optional{*nth};
+}
+
+bool replica::lease_valid(instant now) const
+{
+    if (role_ != replica_role::leader || lease_given_up_ || commit_ < term_start_index_) {
+        return false;
+    }
+    const auto heard = quorum_heard(now);
     // Each of a quorum refuses votes for election_min after it heard this leader, by its own clock,
     // which may run ahead of ours by the drift.
     const auto held = std::chrono::duration_cast<micros>(options_.election_min).count();
     const auto safe =
         static_cast<std::int64_t>(static_cast<double>(held) * (1.0 - options_.clock_drift));
-    return *nth != instant{} && now < *nth + micros{safe};
+    return heard && now < *heard + micros{safe};
+}
+
+void replica::ask_confirmation(instant now)
+{
+    if (role_ == replica_role::leader) {
+        broadcast(now, true);
+    }
+}
+
+bool replica::confirmed_since(instant since) const
+{
+    if (role_ != replica_role::leader || commit_ < term_start_index_) {
+        return false;
+    }
+    const auto heard = quorum_heard(instant::max());
+    return heard && *heard >= since;
 }
 
 void replica::check_quorum(instant now)
--- a/modules/replog/src/replica_membership.cpp
+++ b/modules/replog/src/replica_membership.cpp
@@ -39,6 +39,7 @@
         return;
     }
     if (!msg.granted) {
+        group_exists_ = true;
         fresh_disks_.erase(msg.from.node);
         return;
     }
@@ -48,7 +49,8 @@
 
 void replica::try_found(instant now)
 {
-    if (role_ != replica_role::fresh || founders_.empty() || founders_.front() != self_.node) {
+    if (role_ != replica_role::fresh || group_exists_ || founders_.empty() ||
+        founders_.front() != self_.node) {
         return;
     }
     // Only when every founding host shows a fresh disk can no earlier group exist: a host that lost
@@ -97,26 +99,55 @@
     broadcast(now, false);
 }
 
+void replica::set_founders(std::vector<node_id> founders)
+{
+    if (role_ == replica_role::fresh) {
+        founders_ = std::move(founders);
+    }
+}
+
+bool replica::is_listed(const node_id& node) const
+{
+    return options_.admit_any_host || extra_contacts_.contains(node) ||
+           std::find(founders_.begin(), founders_.end(), node) != founders_.end();
+}
+
+bool replica::is_silent(const member& who, instant now) const
+{
+    const auto peer = peers_.find(who);
+    return options_.replace_silent_after.count() > 0 && peer != peers_.end() &&
+           now > peer->second.last_answer + options_.replace_silent_after;
+}
+
 void replica::consider_membership(instant now)
 {
     // One change at a time: two overlapping changes could form quorums that do not meet.
     if (config_index_ > commit_ || commit_ < term_start_index_) {
         return;
     }
-    const auto listed = [&](const node_id& node) {
-        return std::find(founders_.begin(), founders_.end(), node) != founders_.end() ||
-               extra_contacts_.contains(node);
-    };
+    if (!admit_learner(now)) {
+        promote_learner(now);
+    }
+}
+
+bool replica::admit_learner(instant now)
+{
     for (const auto& seen : fresh_disks_) {
         const member& disk = seen.second;
-        if (is_voter(disk) || is_learner(disk) || !listed(disk.node)) {
+        if (is_voter(disk) || is_learner(disk) || !is_listed(disk.node)) {
             continue;
         }
         group_config next = config_;
         std::erase_if(next.learners, [&](const member& it) { return it.node == disk.node; });
         next.learners.push_back(disk);
-        return propose_config(next, now);
+        propose_config(next, now);
+        return true;
     }
+    return false;
+}
+
+bool replica::promote_learner(instant now)
+{
     for (const auto& learner : config_.learners) {
         const auto peer = peers_.find(learner);
         const bool caught_up = peer != peers_.end() && peer->second.match >= commit_ &&
@@ -128,20 +159,28 @@
         group_config next = config_;
         // First the dead disk goes, then the new one votes: in between the same hosts are needed
         // as before, and no change replaces a voter in one step.
-        const auto stale =
-            std::find_if(next.voters.begin(), next.voters.end(), [&](const auto& it) {
-                return it != self_ && (it.node == learner.node || !listed(it.node));
-            });
-        if (stale != next.voters.end()) {
-            next.voters.erase(stale);
-        } else if (next.voters.size() < founders_.size()) {
+        const auto lost = std::find_if(next.voters.begin(), next.voters.end(), [&](const auto& it) {
+            return it != self_ && (it.node == learner.node || !is_listed(it.node));
+        });
+        const auto silent =
+            std::find_if(next.voters.begin(), next.voters.end(),
+                         [&](const auto& it) { return it != self_ && is_silent(it, now); });
+        if (lost != next.voters.end()) {
+            next.voters.erase(lost);
+        } else if (next.voters.size() < wanted_voters()) {
             std::erase(next.learners, learner);
             next.voters.push_back(learner);
+        } else if (silent != next.voters.end()) {
+            // It may only be cut off. As a learner it gets the log when it is back.
+            next.learners.push_back(*silent);
+            next.voters.erase(silent);
         } else {
             continue;
         }
-        return propose_config(next, now);
+        propose_config(next, now);
+        return true;
     }
+    return false;
 }
 
 } // namespace hickorypost::replog
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -38,6 +38,15 @@
     unknown_attempt = 46,
     settled = 47,
     load = 48,
+    core_note = 60,
+    attach = 61,
+    site_query = 62,
+    site_update = 63,
+    backend_update = 64,
+    order = 65,
+    order_reply = 66,
+    load_report = 67,
+    version_report = 68,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -323,4 +332,92 @@
     std::uint32_t queued = 0;
 };
 
+/// A gateway host; its name is its IP address, at which others dial it.
+struct host_info {
+    node_id host;
+    std::string failure_domain;
+};
+
+/// What a host with a disk tells the hosts it is linked to, when it changes and now and then.
+struct core_note {
+    static constexpr auto type = message_type::core_note;
+    std::vector<host_info> core; ///< hosts with a disk, as far as the sender knows
+    node_id leader;              ///< of the control log; empty: none known
+    std::uint64_t term = 0;
+    std::uint64_t revision = 0; ///< of the site's state at the sender
+    std::uint32_t hosts = 0;    ///< gateway hosts that the sender counts
+};
+
+/// A host without a disk wants updates from the receiver, or no longer.
+struct attach {
+    static constexpr auto type = message_type::attach;
+    bool on = true;
+};
+
+struct site_query {
+    static constexpr auto type = message_type::site_query;
+    std::uint64_t have_revision = 0;
+};
+
+/// The site's whole committed state.
+struct site_update {
+    static constexpr auto type = message_type::site_update;
+    std::string state;
+};
+
+struct backend_touch {
+    std::string id;
+    std::uint64_t sequence = 0;
+};
+
+/// Heartbeats of backend servers that the sender, or a host attached to it, has taken.
+struct backend_update {
+    static constexpr auto type = message_type::backend_update;
+    std::vector<std::string> records;   ///< encoded, where something changed
+    std::vector<backend_touch> touches; ///< the rest
+};
+
+enum class order_kind : std::uint8_t { command, read };
+
+/// Asks the control log's leader to commit a command, or for the state that surely is the newest.
+struct order {
+    static constexpr auto type = message_type::order;
+    std::uint64_t id = 0;
+    order_kind kind = order_kind::read;
+    std::string command;
+};
+
+struct order_reply {
+    static constexpr auto type = message_type::order_reply;
+    std::uint64_t id = 0;
+    reply_status status = reply_status::done;
+    node_id leader;
+    std::string state; ///< of `read`
+};
+
+struct backend_load {
+    std::string id;
+    double requests = 0;
+    double prompt_tokens = 0;
+};
+
+/// From an attached host: its own work. To it: that of all hosts together.
+struct load_report {
+    static constexpr auto type = message_type::load_report;
+    std::vector<backend_load> loads;
+};
+
+struct version_row {
+    std::string service;
+    std::string version;
+    std::uint64_t answers = 0;
+    std::uint64_t bad = 0;
+};
+
+/// What a host saw of versions in a roll-out since its last report; to the leader.
+struct version_report {
+    static constexpr auto type = message_type::version_report;
+    std::vector<version_row> rows;
+};
+
 } // namespace hickorypost::wire
