--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "hickorypost/replog/state_machine.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace hickorypost::gateway {
+
+enum class rollout_phase : std::uint8_t { running, completed, rolled_back };
+
+/// A service's traffic on its way to a new version of its backend servers.
+struct rollout_status {
+    std::string service;
+    std::string target;            ///< the new version
+    std::uint64_t duration_ms = 0; ///< within which a good version has all traffic
+    rollout_phase phase = rollout_phase::running;
+    std::uint32_t share_permille = 0; ///< of the service's requests that go to the new version
+    std::uint64_t elapsed_ms = 0;     ///< since the order, as the leader last wrote it
+    std::string reason;               ///< of the last step
+};
+
+/// What operators were told is accepted: the newest configuration and the roll-outs.
+struct site_state {
+    std::uint64_t config_version = 0;
+    std::string config_text;                        ///< byte for byte as it came, for reading back
+    std::map<std::string, rollout_status> rollouts; ///< by service
+    std::uint64_t revision = 0;                     ///< rises with each change
+};
+
+enum class control_kind : std::uint8_t { put_config, begin_rollout, step_rollout };
+
+/// A command of the replicated log.
+struct control_command {
+    control_kind kind = control_kind::put_config;
+    std::uint64_t config_version = 0;
+    std::string config_text;
+    rollout_status rollout;
+};
+
+/// Applies control commands. The highest configuration version wins, whatever the order of arrival:
+/// operators race each other with equal numbers, and old changes arrive late.
+class control_state final : public replog::state_machine {
+public:
+    /// The answer is always "ok": a change that came too late is acknowledged without effect.
+    std::string apply(const replog::entry& command) override;
+    /// Gives the whole encoded `site_state`, whatever the query.
+    [[nodiscard]] std::string read(std::string_view query) const override;
+    [[nodiscard]] std::string save() const override;
+    void load(std::string_view state) override;
+
+    [[nodiscard]] const site_state& state() const noexcept { return state_; }
+
+private:
+    bool put_config(control_command& command);
+    bool begin_rollout(const rollout_status& order);
+    bool step_rollout(const rollout_status& step);
+
+    site_state state_;
+};
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/event_splitter.h"
+#include "hickorypost/gateway/exchange_types.h"
+#include "hickorypost/gateway/model_choice.h"
+#include "hickorypost/gateway/retry_window.h"
+#include "hickorypost/gateway/rollout_view.h"
+#include "hickorypost/gateway/route_table.h"
+
+#include <map>
+
+namespace hickorypost::gateway {
+
+/// Times and bounds of a request's way.
+struct exchange_settings {
+    /// A request is given up this long before its caller stops waiting, so that the answer arrives.
+    millis answer_margin{20};
+    /// With less time left than this a further attempt is not worth its work.
+    millis least_attempt{30};
+    /// Attempts that found no connection, beyond which a request is not placed again.
+    std::uint32_t most_unsent = 4;
+    /// A plain answer up to this size is kept back until it is whole, so that one that breaks off
+    /// can still be asked for elsewhere.
+    std::size_t held_bytes = std::size_t{256} << 10U;
+    /// Bytes that a caller has not taken, past which the backend server is not read from.
+    std::size_t most_unsent_bytes = std::size_t{256} << 10U;
+    /// Silence, in multiples of the route's targets, after which a resumable stream goes elsewhere.
+    double silence_factor = 2.0;
+    /// Silence of a backend server on an idempotent plain request, in multiples of the target.
+    double plain_silence_factor = 3.0;
+    /// When a request that was refused for lack of room may come back, spread over a span so that
+    /// those who return do not all return at once.
+    millis least_retry_after{150};
+    millis retry_after_span{450};
+};
+
+/// How a request's way ended, for logs, metrics and the report.
+enum class exchange_outcome : std::uint8_t {
+    answered,   ///< with a backend server's whole answer
+    rejected,   ///< refused before any attempt: no route, no key, no configuration
+    not_run,    ///< given up, and surely not run
+    failed,     ///< given up, and may have run
+    timed_out,  ///< its time was over
+    broken_off, ///< the answer had begun and could not be completed
+    caller_left,
+};
+
+std::string_view name_of(exchange_outcome outcome) noexcept;
+
+/// One line of a request's story.
+struct exchange_record {
+    std::string id;
+    std::string route;
+    std::string service;
+    std::string account;
+    std::string backend; ///< the last one tried
+    std::string version;
+    std::string model;
+    request_kind kind = request_kind::safe;
+    exchange_outcome outcome = exchange_outcome::answered;
+    unsigned status = 0;
+    std::string reason;
+    std::uint32_t attempts = 0;
+    std::uint32_t candidates = 0;
+    std::uint64_t config_version = 0;
+    std::uint64_t events = 0;
+    micros to_first{0};
+    micros total{0};
+    double prompt_tokens = 0;
+    double output_tokens = 0;
+};
+
+/// The shared parts of one process that a request's way needs.
+struct exchange_services {
+    backend_directory& directory;
+    load_balancer& balancer;
+    rollout_view& rollouts;
+    model_choice& models;
+    std::map<std::string, retry_window>& windows; ///< by service
+    attempt_port& backends;
+    scheduler& timers;
+    clock_fn now;
+    random_fn random;
+    exchange_settings settings;
+    retry_window_settings retry_settings;
+    /// Processes that share the retry allowance.
+    std::function<std::size_t()> processes;
+    std::function<std::string(const caller_request&, const attempt_order&)> write_head;
+    std::function<backend_answer(const http1::response_head&)> read_answer;
+    std::function<void(const exchange_record&)> finished;
+    /// A decision worth a line: what, and the inputs that decided it.
+    std::function<void(const exchange_record&, std::string_view decision, std::string_view why)>
+        note;
+};
+
+/// A request's way from its head to its last byte: choice, attempts, repeats, relay. Sans I/O.
+///
+/// A request that may not be repeated goes to a second backend server only after an answer that
+/// says it did not run, or when none of its bytes left this process. A refusal (429, 503) is given
+/// only where nothing can have run; everything else that fails is 502 or 504.
+class exchange final : private attempt_events {
+public:
+    exchange(exchange_services& services, caller_port& caller, caller_request request,
+             route_table_ptr table, const route_spec& route, const account_spec* account);
+    ~exchange() override;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    void start();
+    /// The caller has closed its connection: what runs for it is cancelled at once.
+    void caller_left();
+    /// The caller has taken all bytes that waited.
+    void caller_drained();
+    [[nodiscard]] bool over() const noexcept { return over_; }
+    [[nodiscard]] const std::string& id() const noexcept { return request_.id; }
+
+private:
+    bool on_head(http1::response_head& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_complete() override;
+    void on_fault(attempt_fault fault) override;
+
+    [[nodiscard]] bool may_repeat() const;
+    [[nodiscard]] millis time_left() const;
+    void count_send();
+    bool repeat_allowed();
+    void pick_service();
+    void try_attempt();
+    void send_to(const backend_entry& to, const job_size& job);
+    [[nodiscard]] job_size job_now() const;
+    [[nodiscard]] std::string model_now() const;
+    void end_attempt(attempt_result how);
+    void next_attempt(std::string_view why);
+    void handle_not_run(const backend_answer& answer);
+    void handle_failure_answer(http1::response_head& head);
+    void start_relay(http1::response_head& head);
+    bool escalate(const backend_answer& answer);
+    void relay_events(std::string_view bytes);
+    void go_on_elsewhere(std::string_view why);
+    void deliver_held();
+    void give_up(std::string_view why);
+    void refuse(unsigned status, std::string_view why);
+    void deadline_passed();
+    void watch_silence();
+    void silence_passed();
+    void finish(exchange_outcome outcome, unsigned status, std::string_view why);
+
+    enum class stage : std::uint8_t {
+        waiting, ///< for an answer's head
+        holding, ///< a plain answer, or a failure, is gathered
+        pending, ///< a stream's head has come, none of its events
+        relaying ///< the caller has got the head
+    };
+
+    exchange_services& services_;
+    caller_port& caller_;
+    caller_request request_;
+    route_table_ptr table_;
+    const route_spec& route_;
+    const account_spec* account_;
+    const service_spec* service_ = nullptr;
+    exchange_record record_;
+
+    instant began_;
+    instant deadline_;
+    std::uint64_t deadline_timer_ = 0;
+    std::uint64_t silence_timer_ = 0;
+
+    std::unique_ptr<attempt> current_;
+    std::optional<load_balancer::ticket> ticket_;
+    std::vector<std::string> tried_;
+    instant attempt_began_;
+    std::uint32_t sends_ = 0;   ///< attempts that may have reached a backend server
+    std::uint32_t unsent_ = 0;  ///< attempts that surely did not
+    bool send_counted_ = false; ///< the current attempt is among `sends_`
+    bool may_have_run_ = false;
+    std::size_t model_rank_ = 0;
+    bool escalated_ = false;
+
+    stage stage_ = stage::waiting;
+    http1::response_head head_;
+    std::string held_;
+    /// A backend server's own failure, which is better than one of ours if nothing better comes.
+    std::optional<http1::response_head> failure_head_;
+    std::string failure_body_;
+    event_splitter events_;
+    bool over_ = false;
+};
+
+/// An answer of the gateway itself. `retry_after`: when to come back.
+http1::response_head own_answer(unsigned status, std::optional<millis> retry_after = std::nullopt);
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "hickorypost/base/time.h"
+#include "hickorypost/gateway/backend_directory.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hickorypost::gateway {
+
+/// A part of a prompt, which engines keep in memory under its id.
+struct prompt_part {
+    std::uint64_t id = 0;
+    double tokens = 0;
+};
+
+/// What a request asks of a backend server, as far as it is known before it runs.
+struct job_size {
+    double prompt_tokens = 0; ///< 0: a plain service's request
+    double output_tokens = 0;
+    double pace = 1; ///< how much slower its model is than an ordinary one
+    std::string model;
+    std::vector<prompt_part> parts; ///< leading parts first
+};
+
+/// Work that other processes have on a backend server, from their last reports.
+struct remote_load {
+    double requests = 0;
+    double prompt_tokens = 0; ///< of requests without a first event
+};
+
+/// How one attempt ended, as the balancer learns from it.
+enum class attempt_result : std::uint8_t {
+    answered,    ///< with any answer of the backend server that is not its failure
+    failed,      ///< it ran and failed
+    refused,     ///< full
+    unreachable, ///< no connection, or silence
+    dropped,     ///< given up by this side
+};
+
+struct balancer_settings {
+    /// Prompt tokens that an ordinary engine reads in a millisecond. Only proportions matter.
+    double prompt_tokens_per_ms = 100;
+    /// What one more running stream costs a new request, in milliseconds.
+    double stream_ms = 1.0;
+    /// Mean service time of a plain service's request before any was measured.
+    double service_ms = 25;
+    /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
+    double other_domain_ms = 4;
+    /// Time that engines surely keep a prompt part after its last use.
+    millis prefix_memory{6000};
+    /// After being unreachable, the time until the next try; doubles up to the longest.
+    millis first_probation{400};
+    millis longest_probation{5000};
+    /// Weight of the newest result in a backend server's running failure ratio.
+    double failure_weight = 0.1;
+    /// A backend server that fails this much more often than the service as a whole is avoided.
+    double failure_margin = 0.15;
+};
+
+/// Chooses a backend server by the expected time until it answers.
+///
+/// Load patterns: many processes see the same late reports, so own work counts exactly and at once
+/// and others' from their reports, and equal choices are broken by chance, not by order; one that
+/// fails, is silent or refuses is left after the first signs and tried again sparingly; prompts
+/// that share parts meet on the same engine without any message, by rendezvous hashing. Sans I/O.
+class load_balancer {
+public:
+    load_balancer(balancer_settings settings, std::string own_domain, random_fn random);
+
+    struct ticket {
+        std::string backend;
+        double prompt_tokens = 0;
+        bool streaming = false;
+        bool first_seen = false;
+        instant started;
+    };
+
+    /// The best candidate that is not in `tried`; null if none is left.
+    const backend_entry* choose(std::span<const backend_entry* const> candidates,
+                                const job_size& job, std::span<const std::string> tried,
+                                instant now);
+    ticket started(const backend_entry& on, const job_size& job, instant now);
+    void first_answer(ticket& it, instant now);
+    void ended(ticket& it, attempt_result how, instant now);
+
+    void take_remote(const std::string& process, std::map<std::string, remote_load> loads,
+                     instant now);
+    /// Own work by backend server, for other processes.
+    [[nodiscard]] std::map<std::string, remote_load> own_loads() const;
+    /// Whether a candidate has a place free now, as far as this process knows.
+    [[nodiscard]] bool has_place(std::span<const backend_entry* const> candidates,
+                                 instant now) const;
+    void forget(std::string_view backend);
+
+private:
+    struct backend_load {
+        double requests = 0;
+        double prompt_tokens = 0;
+        double failure_ratio = 0;
+        double service_ms = 0; ///< running mean; 0: none yet
+        std::uint32_t misses = 0;
+        instant probation_until;
+        instant full_until;
+        std::unordered_map<std::uint64_t, instant> parts; ///< by part and model
+    };
+    struct remote_report {
+        std::map<std::string, remote_load> loads;
+        instant taken;
+    };
+
+    [[nodiscard]] remote_load others_on(const std::string& backend, instant now) const;
+    double cost_ms(const backend_entry& it, const job_size& job, double mean_failures, instant now);
+    double cached_tokens(const backend_entry& it, const job_size& job, bool home, instant now);
+    double mean_failure_ratio(std::span<const backend_entry* const> candidates);
+    static std::string_view home_of(std::span<const backend_entry* const> candidates,
+                                    const job_size& job);
+
+    balancer_settings settings_;
+    std::string own_domain_;
+    random_fn random_;
+    std::map<std::string, backend_load, std::less<>> loads_;
+    std::map<std::string, remote_report> remote_;
+};
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "hickorypost/gateway/site_config.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace hickorypost::gateway {
+
+struct model_choice_settings {
+    /// An answer of which its model is less sure than this is asked for again of a larger one.
+    double least_confidence = 0.5;
+    /// A larger model is asked only if this many times the route's target is left.
+    double least_targets_left = 1.0;
+};
+
+/// Which of a route's models answers a request that leaves the choice to the gateway.
+class model_choice {
+public:
+    explicit model_choice(model_choice_settings settings) : settings_{settings} {}
+
+    /// Rank of the model to begin with, 0 for the smallest.
+    [[nodiscard]] std::size_t first(const route_spec& route) const;
+    /// Rank of the model to go on with after an answer of `rank` with that confidence; the same
+    /// rank if the answer will do or no larger model can help in the time that is left.
+    [[nodiscard]] std::size_t after(const route_spec& route, std::size_t rank, double confidence,
+                                    millis left) const;
+    /// How much slower a model is than the middle one, from what the operators say it costs.
+    [[nodiscard]] static double pace(const engine_spec& engine, const std::string& model);
+
+private:
+    model_choice_settings settings_;
+};
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/control_state.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hickorypost::gateway {
+
+/// What one version of a service did, as one process saw it since its last report.
+struct version_tally {
+    std::uint64_t answers = 0;
+    std::uint64_t bad = 0; ///< failures, and answers far slower than the other version's
+};
+
+/// One process's side of roll-outs: which versions of a service may get a request, and what they
+/// made of it. Sans I/O.
+class rollout_view {
+public:
+    explicit rollout_view(random_fn random) : random_{std::move(random)} {}
+
+    void follow(const std::map<std::string, rollout_status>& rollouts);
+
+    /// Leaves the candidates of the version that this request goes to. A session that is known
+    /// keeps its version through the first half of a roll-out.
+    void choose_version(const std::string& service, const std::string& session,
+                        std::vector<const backend_entry*>& candidates, instant now);
+    /// An attempt is over. `took`: until the first event, or the whole of a plain answer.
+    void saw(const std::string& service, const std::string& route, const std::string& version,
+             bool failed, micros took, instant now);
+    /// Takes the tallies of services with a running roll-out, by service and whether the version is
+    /// the new one.
+    struct report_row {
+        std::string service;
+        std::string version;
+        std::uint64_t answers = 0;
+        std::uint64_t bad = 0;
+    };
+    std::vector<report_row> take_report();
+
+private:
+    struct service_view {
+        rollout_status status;
+        bool known = false;
+        std::string incumbent; ///< the version that serves where no roll-out says otherwise
+        std::map<std::string, version_tally> tallies; ///< by version, since the last report
+        std::map<std::string, double> old_ms;         ///< by route: the incumbent's running mean
+        std::uint32_t streak = 0;                     ///< bad answers of the new version lately
+        bool tripped = false; ///< too many: no new work until the leader decides
+    };
+    struct session_mark {
+        std::string version;
+        instant used;
+    };
+
+    [[nodiscard]] bool wants_target(const service_view& it, const std::string& session,
+                                    instant now);
+    void note_session(const std::string& session, const std::string& version, instant now);
+
+    random_fn random_;
+    std::map<std::string, service_view> services_;
+    std::unordered_map<std::string, session_mark> sessions_;
+    instant clean_due_;
+};
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/control_state.cpp
@@ -0,0 +1,81 @@
+#include "hickorypost/gateway/control_state.h"
+
+#include "hickorypost/replog/types.h"
+#include "hickorypost/wire/codec.h"
+
+#include <utility>
+
+namespace hickorypost::gateway {
+
+std::string control_state::apply(const replog::entry& command)
+{
+    auto it = wire::try_decode<control_command>(command.data);
+    if (!it) {
+        return "unreadable"; // written by a later release; equal on all hosts
+    }
+    bool changed = false;
+    switch (it->kind) {
+    case control_kind::put_config:
+        changed = put_config(*it);
+        break;
+    case control_kind::begin_rollout:
+        changed = begin_rollout(it->rollout);
+        break;
+    case control_kind::step_rollout:
+        changed = step_rollout(it->rollout);
+        break;
+    }
+    if (changed) {
+        ++state_.revision;
+    }
+    return "ok";
+}
+
+bool control_state::put_config(control_command& command)
+{
+    if (command.config_version <= state_.config_version) {
+        return false;
+    }
+    state_.config_version = command.config_version;
+    state_.config_text = std::move(command.config_text);
+    return true;
+}
+
+bool control_state::begin_rollout(const rollout_status& order)
+{
+    const auto known = state_.rollouts.find(order.service);
+    // The same order again, because its acknowledgement was lost: what it began goes on.
+    if (known != state_.rollouts.end() && known->second.target == order.target) {
+        return false;
+    }
+    state_.rollouts[order.service] = order;
+    return true;
+}
+
+bool control_state::step_rollout(const rollout_status& step)
+{
+    const auto known = state_.rollouts.find(step.service);
+    if (known == state_.rollouts.end() || known->second.target != step.target ||
+        known->second.phase != rollout_phase::running) {
+        return false; // decided by a leader that did not know of a newer order or an end
+    }
+    known->second = step;
+    return true;
+}
+
+std::string control_state::read(std::string_view) const
+{
+    return save();
+}
+
+std::string control_state::save() const
+{
+    return wire::encode(state_);
+}
+
+void control_state::load(std::string_view state)
+{
+    state_ = wire::try_decode<site_state>(state).value_or(site_state{});
+}
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/exchange.cpp
@@ -0,0 +1,597 @@
+#include "hickorypost/gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_failure = 500;
+
+bool is_success(unsigned status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+std::string retry_after_text(millis wait)
+{
+    constexpr std::int64_t per_second = 1000;
+    std::string digits = std::to_string(wait.count() % per_second);
+    digits.insert(0, 3 - digits.size(), '0');
+    return std::to_string(wait.count() / per_second) + "." + digits;
+}
+
+} // namespace
+
+std::string_view describe(attempt_fault fault) noexcept
+{
+    switch (fault) {
+    case attempt_fault::not_sent:
+        return "no connection";
+    case attempt_fault::silent:
+        return "connection lost without an answer";
+    case attempt_fault::broken:
+        return "answer cut short or malformed";
+    }
+    return "unknown fault";
+}
+
+std::string_view name_of(exchange_outcome outcome) noexcept
+{
+    switch (outcome) {
+    case exchange_outcome::answered:
+        return "answered";
+    case exchange_outcome::rejected:
+        return "rejected";
+    case exchange_outcome::not_run:
+        return "not_run";
+    case exchange_outcome::failed:
+        return "failed";
+    case exchange_outcome::timed_out:
+        return "timed_out";
+    case exchange_outcome::broken_off:
+        return "broken_off";
+    case exchange_outcome::caller_left:
+        return "caller_left";
+    }
+    return "unknown";
+}
+
+http1::response_head own_answer(unsigned status, std::optional<millis> retry_after)
+{
+    http1::response_head out;
+    out.status = status;
+    out.body = http1::framing::sized;
+    if (retry_after) {
+        out.fields.add("Retry-After", retry_after_text(*retry_after));
+    }
+    return out;
+}
+
+exchange::exchange(exchange_services& services, caller_port& caller, caller_request request,
+                   route_table_ptr table, const route_spec& route, const account_spec* account)
+    : services_{services}, caller_{caller}, request_{std::move(request)}, table_{std::move(table)},
+      route_{route}, account_{account}, began_{services.now()}, events_{request_.last_event_id}
+{
+    millis wait = route_.timeout;
+    if (request_.wait) {
+        wait = std::min(wait, *request_.wait - services_.settings.answer_margin);
+    }
+    deadline_ = began_ + std::max(wait, millis{0});
+    record_.id = request_.id;
+    record_.route = route_.name;
+    record_.account = account_ == nullptr ? std::string{} : account_->name;
+    record_.kind = route_.kind;
+    record_.config_version = table_->config().version;
+    record_.prompt_tokens = request_.prompt_tokens;
+    record_.output_tokens = request_.output_tokens;
+    record_.model = request_.model;
+}
+
+exchange::~exchange()
+{
+    services_.timers.cancel(deadline_timer_);
+    services_.timers.cancel(silence_timer_);
+    if (ticket_) {
+        services_.balancer.ended(*ticket_, attempt_result::dropped, services_.now());
+    }
+}
+
+void exchange::start()
+{
+    deadline_timer_ = services_.timers.add(deadline_, [this] {
+        deadline_timer_ = 0;
+        deadline_passed();
+    });
+    pick_service();
+    if (request_.any_model) {
+        model_rank_ = services_.models.first(route_);
+    }
+    services_.windows.try_emplace(record_.service, services_.retry_settings)
+        .first->second.request(services_.now());
+    try_attempt();
+}
+
+void exchange::pick_service()
+{
+    std::uint64_t total = 0;
+    for (const auto& it : route_.services) {
+        total += it.weight;
+    }
+    auto at =
+        static_cast<std::uint64_t>(unit_random(services_.random) * static_cast<double>(total));
+    for (const auto& it : route_.services) {
+        if (at < it.weight) {
+            record_.service = it.service;
+            break;
+        }
+        at -= it.weight;
+    }
+    service_ = table_->find_service(record_.service);
+}
+
+bool exchange::may_repeat() const
+{
+    return route_.kind == request_kind::safe ||
+           (route_.kind == request_kind::streaming && route_.resumable);
+}
+
+millis exchange::time_left() const
+{
+    return std::chrono::duration_cast<millis>(deadline_ - services_.now());
+}
+
+void exchange::count_send()
+{
+    sends_ += std::exchange(send_counted_, true) ? 0 : 1;
+}
+
+bool exchange::repeat_allowed()
+{
+    if (sends_ == 0) {
+        return true;
+    }
+    if (sends_ >= route_.max_attempts || time_left() < services_.settings.least_attempt) {
+        return false;
+    }
+    auto& window = services_.windows.at(record_.service);
+    return window.try_repeat(services_.processes(), services_.now());
+}
+
+std::string exchange::model_now() const
+{
+    return request_.any_model && !route_.models.empty() ? route_.models[model_rank_]
+                                                        : std::string{};
+}
+
+job_size exchange::job_now() const
+{
+    job_size out;
+    out.prompt_tokens = request_.prompt_tokens;
+    out.output_tokens = request_.output_tokens;
+    out.parts = request_.parts;
+    out.model = request_.any_model ? model_now() : request_.model;
+    if (service_ != nullptr && service_->engine) {
+        out.pace = model_choice::pace(*service_->engine, out.model);
+    }
+    return out;
+}
+
+void exchange::try_attempt()
+{
+    const instant now = services_.now();
+    auto candidates = services_.directory.usable(record_.service, now);
+    services_.rollouts.choose_version(record_.service, request_.session, candidates, now);
+    record_.candidates = static_cast<std::uint32_t>(candidates.size());
+    const job_size job = job_now();
+    const auto* to = services_.balancer.choose(candidates, job, tried_, now);
+    if (to == nullptr) {
+        give_up(candidates.empty() ? "no backend server is known" : "all backend servers tried");
+        return;
+    }
+    send_to(*to, job);
+}
+
+void exchange::send_to(const backend_entry& to, const job_size& job)
+{
+    const instant now = services_.now();
+    attempt_order order;
+    order.backend = to.record.id;
+    order.account = record_.account;
+    order.wait = time_left();
+    order.model = model_now();
+    order.priority =
+        account_ != nullptr && account_->priority ? *account_->priority : route_.priority;
+    order.last_event_id = events_.last_id();
+    if (order.wait <= millis{0}) {
+        deadline_passed();
+        return;
+    }
+    record_.backend = to.record.id;
+    record_.version = to.record.version;
+    record_.model = job.model;
+    ++record_.attempts;
+    attempt_began_ = now;
+    send_counted_ = false;
+    stage_ = stage_ == stage::relaying ? stage::relaying : stage::waiting;
+    events_.restart();
+    ticket_ = services_.balancer.started(to, job, now);
+    attempt_target target{to.record.id, to.record.address, record_.service,
+                          service_ == nullptr ? 0 : service_->max_connections};
+    current_ = services_.backends.start(target, services_.write_head(request_, order),
+                                        request_.body, request_.method == "HEAD", *this);
+    watch_silence();
+}
+
+void exchange::end_attempt(attempt_result how)
+{
+    services_.timers.cancel(std::exchange(silence_timer_, 0));
+    current_.reset();
+    if (!ticket_) {
+        return;
+    }
+    services_.balancer.ended(*ticket_, how, services_.now());
+    ticket_.reset();
+    if (how == attempt_result::answered || how == attempt_result::failed ||
+        how == attempt_result::unreachable) {
+        const bool failed = how != attempt_result::answered;
+        const auto took = record_.to_first.count() > 0 && !failed
+                              ? record_.to_first
+                              : services_.now() - attempt_began_;
+        services_.rollouts.saw(record_.service, route_.name, record_.version, failed, took,
+                               services_.now());
+    }
+}
+
+bool exchange::on_head(http1::response_head& head)
+{
+    const backend_answer answer = services_.read_answer(head);
+    if (!answer.request_id.empty() && answer.request_id != request_.id) {
+        return false; // a late extra answer to an earlier request of this connection
+    }
+    if (!answer.ran) {
+        handle_not_run(answer);
+        return true;
+    }
+    count_send();
+    may_have_run_ = true;
+    const bool counterfeit = answer.encoded || (is_success(answer.status) && !answer.signed_body);
+    if (counterfeit) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("answer without the backend server's signature");
+        return true;
+    }
+    if (stage_ == stage::relaying && !is_success(answer.status)) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("backend server failed");
+        return true;
+    }
+    if (answer.status >= first_server_failure) {
+        handle_failure_answer(head);
+        return true;
+    }
+    if (!escalate(answer)) {
+        start_relay(head);
+    }
+    return true;
+}
+
+void exchange::handle_not_run(const backend_answer& answer)
+{
+    count_send();
+    if (answer.wrong_backend) {
+        services_.directory.remove(record_.backend, services_.now());
+        services_.note(record_, "backend_gone", "another incarnation answers at its address");
+    }
+    end_attempt(answer.wrong_backend ? attempt_result::unreachable : attempt_result::refused);
+    go_on_elsewhere("backend server refused");
+}
+
+void exchange::handle_failure_answer(http1::response_head& head)
+{
+    head_ = std::move(head);
+    held_.clear();
+    stage_ = stage::holding;
+    failure_head_ = head_;
+}
+
+bool exchange::escalate(const backend_answer& answer)
+{
+    if (!request_.any_model || !answer.confidence || stage_ == stage::relaying || !may_repeat()) {
+        return false;
+    }
+    const auto rank = services_.models.after(route_, model_rank_, *answer.confidence, time_left());
+    if (rank == model_rank_ || !repeat_allowed()) {
+        return false;
+    }
+    model_rank_ = rank;
+    escalated_ = true;
+    services_.note(record_, "model_escalated", "confidence below the least accepted");
+    end_attempt(attempt_result::dropped);
+    try_attempt();
+    return true;
+}
+
+void exchange::start_relay(http1::response_head& head)
+{
+    if (stage_ == stage::relaying) {
+        return; // the answer keeps the head of its first run
+    }
+    if (route_.kind == request_kind::streaming && is_success(head.status)) {
+        head_ = std::move(head);
+        stage_ = stage::pending;
+        return;
+    }
+    services_.balancer.first_answer(*ticket_, services_.now());
+    record_.to_first = services_.now() - began_;
+    head_ = std::move(head);
+    held_.clear();
+    stage_ = stage::holding;
+}
+
+void exchange::on_body(std::string_view bytes)
+{
+    const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
+    if (events) {
+        relay_events(bytes);
+        return;
+    }
+    if (failure_head_) {
+        held_.append(bytes);
+        return;
+    }
+    if (stage_ == stage::relaying) {
+        caller_.piece(bytes);
+    } else {
+        held_.append(bytes);
+        if (held_.size() > services_.settings.held_bytes) {
+            stage_ = stage::relaying;
+            head_.fields.remove_hop_by_hop();
+            head_.fields.remove("Content-Length");
+            caller_.begin(head_);
+            caller_.piece(std::exchange(held_, {}));
+        }
+    }
+    if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
+        current_->set_reading(false);
+    }
+}
+
+void exchange::relay_events(std::string_view bytes)
+{
+    const std::string whole = events_.push(bytes);
+    if (events_.out_of_order()) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("events out of order");
+        return;
+    }
+    if (whole.empty()) {
+        return;
+    }
+    if (stage_ != stage::relaying) {
+        stage_ = stage::relaying;
+        record_.to_first = services_.now() - began_;
+        head_.fields.remove_hop_by_hop();
+        head_.fields.remove("Content-Length");
+        caller_.begin(head_);
+    }
+    services_.balancer.first_answer(*ticket_, services_.now());
+    caller_.piece(whole);
+    if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
+        current_->set_reading(false);
+    }
+    watch_silence();
+}
+
+void exchange::on_complete()
+{
+    if (failure_head_ && stage_ == stage::holding) {
+        failure_body_ = std::exchange(held_, {});
+        end_attempt(attempt_result::failed);
+        next_attempt("backend server failed");
+        return;
+    }
+    const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
+    if (events && (events_.has_partial() || stage_ == stage::pending)) {
+        // A stream that ends within an event, or with none, lost its end on the way.
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("stream ended within an event");
+        return;
+    }
+    end_attempt(attempt_result::answered);
+    record_.events = events_.events();
+    if (stage_ == stage::relaying) {
+        caller_.end();
+        finish(exchange_outcome::answered, head_.status, {});
+        return;
+    }
+    deliver_held();
+}
+
+void exchange::deliver_held()
+{
+    head_.fields.remove_hop_by_hop();
+    head_.fields.remove("Content-Length");
+    const unsigned status = head_.status;
+    caller_.respond(std::move(head_), std::exchange(held_, {}));
+    finish(exchange_outcome::answered, status, {});
+}
+
+void exchange::on_fault(attempt_fault fault)
+{
+    const bool sent = fault != attempt_fault::not_sent;
+    const bool head_seen = stage_ != stage::waiting;
+    if (sent) {
+        count_send();
+        may_have_run_ = true;
+    } else {
+        ++unsent_;
+    }
+    const bool broke = fault == attempt_fault::broken || head_seen;
+    end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
+    if (stage_ == stage::relaying) {
+        go_on_elsewhere(describe(fault));
+        return;
+    }
+    failure_head_.reset();
+    next_attempt(describe(fault));
+}
+
+void exchange::go_on_elsewhere(std::string_view why)
+{
+    if (stage_ != stage::relaying) {
+        next_attempt(why);
+        return;
+    }
+    const bool resumable = route_.kind == request_kind::streaming && route_.resumable;
+    if (!resumable || !repeat_allowed()) {
+        caller_.break_off();
+        finish(exchange_outcome::broken_off, head_.status, why);
+        return;
+    }
+    services_.note(record_, "resumed", why);
+    tried_.push_back(record_.backend);
+    try_attempt();
+}
+
+void exchange::next_attempt(std::string_view why)
+{
+    tried_.push_back(record_.backend);
+    stage_ = stage::waiting;
+    const bool allowed = !may_have_run_ || may_repeat();
+    if (!allowed || unsent_ >= services_.settings.most_unsent || !repeat_allowed()) {
+        give_up(why);
+        return;
+    }
+    services_.note(record_, "retried", why);
+    failure_head_.reset();
+    try_attempt();
+}
+
+void exchange::give_up(std::string_view why)
+{
+    if (stage_ == stage::relaying) {
+        caller_.break_off();
+        finish(exchange_outcome::broken_off, head_.status, why);
+        return;
+    }
+    if (failure_head_) {
+        head_ = *failure_head_;
+        held_ = std::move(failure_body_);
+        deliver_held();
+        return;
+    }
+    refuse(may_have_run_ ? status_bad_gateway : status_unavailable, why);
+}
+
+void exchange::refuse(unsigned status, std::string_view why)
+{
+    const auto& settings = services_.settings;
+    std::optional<millis> wait;
+    if (status == status_unavailable) {
+        const double spread = unit_random(services_.random);
+        const auto extra = static_cast<double>(settings.retry_after_span.count()) * spread;
+        wait = settings.least_retry_after + millis{static_cast<std::int64_t>(extra)};
+    }
+    caller_.respond(own_answer(status, wait), {});
+    const auto outcome = status == status_unavailable ? exchange_outcome::not_run
+                         : status == status_timeout   ? exchange_outcome::timed_out
+                                                      : exchange_outcome::failed;
+    finish(outcome, status, why);
+}
+
+void exchange::deadline_passed()
+{
+    if (over_) {
+        return;
+    }
+    const bool running = current_ != nullptr;
+    if (running) {
+        // Silence up to the deadline: what was sent there may have run.
+        may_have_run_ = true;
+        end_attempt(attempt_result::dropped);
+    }
+    if (stage_ == stage::relaying) {
+        caller_.break_off();
+        finish(exchange_outcome::broken_off, head_.status, "time is over");
+        return;
+    }
+    refuse(may_have_run_ ? status_timeout : status_unavailable, "time is over");
+}
+
+void exchange::watch_silence()
+{
+    services_.timers.cancel(std::exchange(silence_timer_, 0));
+    const bool stream = route_.kind == request_kind::streaming;
+    if (!may_repeat() || sends_ + 1 >= route_.max_attempts) {
+        return;
+    }
+    const auto& settings = services_.settings;
+    const millis target = stream && stage_ == stage::relaying
+                              ? route_.target_gap.value_or(route_.target_latency)
+                              : route_.target_latency;
+    const double factor = stream ? settings.silence_factor : settings.plain_silence_factor;
+    const auto wait =
+        millis{static_cast<std::int64_t>(static_cast<double>(target.count()) * factor)};
+    silence_timer_ = services_.timers.add(services_.now() + wait, [this] {
+        silence_timer_ = 0;
+        silence_passed();
+    });
+}
+
+void exchange::silence_passed()
+{
+    if (over_ || !current_) {
+        return;
+    }
+    count_send();
+    may_have_run_ = true;
+    if (!repeat_allowed()) {
+        return; // it goes on waiting for this one
+    }
+    end_attempt(attempt_result::unreachable);
+    tried_.push_back(record_.backend);
+    services_.note(record_, stage_ == stage::relaying ? "resumed" : "retried",
+                   "backend server silent");
+    if (stage_ != stage::relaying) {
+        stage_ = stage::waiting;
+        failure_head_.reset();
+    }
+    try_attempt();
+}
+
+void exchange::caller_left()
+{
+    if (over_) {
+        return;
+    }
+    end_attempt(attempt_result::dropped);
+    finish(exchange_outcome::caller_left, 0, "caller closed its connection");
+}
+
+void exchange::caller_drained()
+{
+    if (current_) {
+        current_->set_reading(true);
+    }
+}
+
+void exchange::finish(exchange_outcome outcome, unsigned status, std::string_view why)
+{
+    over_ = true;
+    services_.timers.cancel(std::exchange(deadline_timer_, 0));
+    services_.timers.cancel(std::exchange(silence_timer_, 0));
+    record_.outcome = outcome;
+    record_.status = status;
+    record_.reason = why;
+    record_.total = services_.now() - began_;
+    services_.finished(record_);
+}
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/load_balancer.cpp
@@ -0,0 +1,265 @@
+#include "hickorypost/gateway/load_balancer.h"
+
+#include "hickorypost/base/ids.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+/// A report older than this says nothing any more: its sender may be gone.
+constexpr millis remote_report_life{2000};
+/// How sure it is that an engine keeps a part whose home it is by hashing, though this process has
+/// not sent it there: others have, unless the part is used less often than engines forget.
+constexpr double home_trust = 0.7;
+/// Weight of the newest service time in the running mean.
+constexpr double service_time_weight = 0.1;
+constexpr double micros_per_milli = 1000;
+/// After a refusal for lack of room, the time for which a backend server counts as full.
+constexpr millis full_time{60};
+/// Cost that sets one on probation or full behind all others, but not out of reach.
+constexpr double last_resort_ms = 1e6;
+/// Cost of a failure ratio of 1 above the margin: more than an ordinary answer takes.
+constexpr double failure_cost_ms = 400;
+
+std::uint64_t part_key(const prompt_part& part, const std::string& model)
+{
+    return hash_bytes(model, part.id);
+}
+
+/// Parts that requests share: all but the last, which is the request's own.
+std::span<const prompt_part> shared_parts(const job_size& job)
+{
+    return job.parts.empty() ? std::span<const prompt_part>{}
+                             : std::span{job.parts}.first(job.parts.size() - 1);
+}
+
+} // namespace
+
+load_balancer::load_balancer(balancer_settings settings, std::string own_domain, random_fn random)
+    : settings_{settings}, own_domain_{std::move(own_domain)}, random_{std::move(random)}
+{
+}
+
+remote_load load_balancer::others_on(const std::string& backend, instant now) const
+{
+    remote_load out;
+    for (const auto& [process, report] : remote_) {
+        if (now > report.taken + remote_report_life) {
+            continue;
+        }
+        if (const auto it = report.loads.find(backend); it != report.loads.end()) {
+            out.requests += it->second.requests;
+            out.prompt_tokens += it->second.prompt_tokens;
+        }
+    }
+    return out;
+}
+
+std::string_view load_balancer::home_of(std::span<const backend_entry* const> candidates,
+                                        const job_size& job)
+{
+    const auto shared = shared_parts(job);
+    if (shared.empty()) {
+        return {};
+    }
+    const std::uint64_t key = part_key(shared.back(), job.model);
+    std::string_view home;
+    std::uint64_t highest = 0;
+    for (const auto* it : candidates) {
+        if (const std::uint64_t rank = hash_bytes(it->record.id, key);
+            home.empty() || rank > highest) {
+            highest = rank;
+            home = it->record.id;
+        }
+    }
+    return home;
+}
+
+double load_balancer::cached_tokens(const backend_entry& it, const job_size& job, bool home,
+                                    instant now)
+{
+    const auto& known = loads_[it.record.id].parts;
+    double out = 0;
+    for (const auto& part : shared_parts(job)) {
+        const auto used = known.find(part_key(part, job.model));
+        const bool kept = used != known.end() && now < used->second + settings_.prefix_memory;
+        if (!kept && !home) {
+            return out; // what follows a part that is not kept is read again too
+        }
+        out += part.tokens * (kept ? 1.0 : home_trust);
+    }
+    return out;
+}
+
+double load_balancer::cost_ms(const backend_entry& it, const job_size& job, double mean_failures,
+                              instant now)
+{
+    const backend_load& load = loads_[it.record.id];
+    const remote_load others = others_on(it.record.id, now);
+    const double running = load.requests + others.requests;
+    const double slots = std::max<std::uint32_t>(1, it.record.slots);
+    double out = it.record.failure_domain == own_domain_ ? 0 : settings_.other_domain_ms;
+    if (job.prompt_tokens > 0) {
+        const double rate = settings_.prompt_tokens_per_ms / job.pace;
+        out += (load.prompt_tokens + others.prompt_tokens) / settings_.prompt_tokens_per_ms;
+        out += job.prompt_tokens / rate;
+        out += running * settings_.stream_ms;
+        if (running >= slots) {
+            out += (running - slots + 1) * settings_.stream_ms * slots;
+        }
+    } else {
+        const double service = load.service_ms > 0 ? load.service_ms : settings_.service_ms;
+        out += service * (1 + running / slots);
+    }
+    out += failure_cost_ms *
+           std::max(0.0, load.failure_ratio - mean_failures - settings_.failure_margin);
+    out += static_cast<double>(it.record.cold_ms) > 0 ? settings_.service_ms : 0;
+    if (now < load.probation_until || now < load.full_until) {
+        out += last_resort_ms;
+    }
+    return out;
+}
+
+double load_balancer::mean_failure_ratio(std::span<const backend_entry* const> candidates)
+{
+    double sum = 0;
+    for (const auto* it : candidates) {
+        sum += loads_[it->record.id].failure_ratio;
+    }
+    return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+}
+
+const backend_entry* load_balancer::choose(std::span<const backend_entry* const> candidates,
+                                           const job_size& job, std::span<const std::string> tried,
+                                           instant now)
+{
+    const std::string_view home = home_of(candidates, job);
+    const double failures = mean_failure_ratio(candidates);
+    const backend_entry* best = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto* it : candidates) {
+        if (std::find(tried.begin(), tried.end(), it->record.id) != tried.end()) {
+            continue;
+        }
+        double cost = cost_ms(*it, job, failures, now);
+        cost -= cached_tokens(*it, job, it->record.id == home, now) * job.pace /
+                settings_.prompt_tokens_per_ms;
+        // Up to a millisecond of chance: processes that know the same do not all choose the same.
+        cost += unit_random(random_);
+        if (cost < lowest) {
+            lowest = cost;
+            best = it;
+        }
+    }
+    return best;
+}
+
+load_balancer::ticket load_balancer::started(const backend_entry& on, const job_size& job,
+                                             instant now)
+{
+    backend_load& load = loads_[on.record.id];
+    const double cached = cached_tokens(on, job, false, now);
+    for (const auto& part : shared_parts(job)) {
+        load.parts[part_key(part, job.model)] = now;
+    }
+    constexpr std::size_t parts_before_cleaning = 2000;
+    if (load.parts.size() > parts_before_cleaning) {
+        std::erase_if(load.parts,
+                      [&](const auto& it) { return now > it.second + settings_.prefix_memory; });
+    }
+    load.requests += 1;
+    const double prompt = std::max(0.0, job.prompt_tokens - cached) * job.pace;
+    load.prompt_tokens += prompt;
+    if (load.probation_until > now) {
+        load.probation_until = now + settings_.longest_probation; // one try at a time
+    }
+    return {on.record.id, prompt, job.prompt_tokens > 0, false, now};
+}
+
+void load_balancer::first_answer(ticket& it, instant now)
+{
+    if (it.first_seen) {
+        return;
+    }
+    it.first_seen = true;
+    backend_load& load = loads_[it.backend];
+    load.prompt_tokens = std::max(0.0, load.prompt_tokens - it.prompt_tokens);
+    load.misses = 0;
+    load.probation_until = {};
+    if (!it.streaming) {
+        const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
+        load.service_ms = load.service_ms == 0
+                              ? took
+                              : load.service_ms + service_time_weight * (took - load.service_ms);
+    }
+}
+
+void load_balancer::ended(ticket& it, attempt_result how, instant now)
+{
+    backend_load& load = loads_[it.backend];
+    load.requests = std::max(0.0, load.requests - 1);
+    if (!it.first_seen) {
+        load.prompt_tokens = std::max(0.0, load.prompt_tokens - it.prompt_tokens);
+    }
+    const auto learn = [&](double failed) {
+        load.failure_ratio += settings_.failure_weight * (failed - load.failure_ratio);
+    };
+    switch (how) {
+    case attempt_result::answered:
+        learn(0);
+        break;
+    case attempt_result::failed:
+        learn(1);
+        break;
+    case attempt_result::refused:
+        load.full_until = now + full_time;
+        break;
+    case attempt_result::unreachable: {
+        learn(1);
+        const auto grown = settings_.first_probation * (1U << std::min(load.misses, 5U));
+        load.probation_until = now + std::min(grown, settings_.longest_probation);
+        ++load.misses;
+        break;
+    }
+    case attempt_result::dropped:
+        break;
+    }
+}
+
+void load_balancer::take_remote(const std::string& process,
+                                std::map<std::string, remote_load> loads, instant now)
+{
+    remote_[process] = {std::move(loads), now};
+}
+
+std::map<std::string, remote_load> load_balancer::own_loads() const
+{
+    std::map<std::string, remote_load> out;
+    for (const auto& [id, it] : loads_) {
+        if (it.requests > 0) {
+            out[id] = {it.requests, it.prompt_tokens};
+        }
+    }
+    return out;
+}
+
+bool load_balancer::has_place(std::span<const backend_entry* const> candidates, instant now) const
+{
+    return std::any_of(candidates.begin(), candidates.end(), [&](const auto* it) {
+        const auto own = loads_.find(it->record.id);
+        const double mine = own == loads_.end() ? 0 : own->second.requests;
+        return mine + others_on(it->record.id, now).requests < it->record.slots;
+    });
+}
+
+void load_balancer::forget(std::string_view backend)
+{
+    if (const auto it = loads_.find(backend); it != loads_.end()) {
+        loads_.erase(it);
+    }
+}
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/model_choice.cpp
@@ -0,0 +1,40 @@
+#include "hickorypost/gateway/model_choice.h"
+
+#include <algorithm>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+/// Cost per 1,000 tokens of a model of ordinary pace. Larger models cost more because they take
+/// more of an engine's time, so their cost tells their pace.
+constexpr double ordinary_cost = 0.2;
+constexpr double least_pace = 0.2;
+
+} // namespace
+
+std::size_t model_choice::first(const route_spec&) const
+{
+    return 0;
+}
+
+std::size_t model_choice::after(const route_spec& route, std::size_t rank, double confidence,
+                                millis left) const
+{
+    const std::size_t largest = route.models.empty() ? 0 : route.models.size() - 1;
+    const auto wanted = static_cast<double>(route.target_latency.count());
+    const bool time = static_cast<double>(left.count()) >= wanted * settings_.least_targets_left;
+    if (confidence >= settings_.least_confidence || rank >= largest || !time) {
+        return rank;
+    }
+    return largest;
+}
+
+double model_choice::pace(const engine_spec& engine, const std::string& model)
+{
+    const auto it = std::find_if(engine.models.begin(), engine.models.end(),
+                                 [&](const auto& known) { return known.name == model; });
+    return it == engine.models.end() ? 1 : std::max(least_pace, it->cost / ordinary_cost);
+}
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/rollout_judge.cpp
@@ -0,0 +1,105 @@
+#include "hickorypost/gateway/rollout_judge.h"
+
+#include <algorithm>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+/// Without a step that changes the share, the time is written this often, so that a new leader
+/// knows how far a roll-out is.
+constexpr std::uint64_t time_written_every_ms = 2000;
+
+} // namespace
+
+void rollout_judge::follow(const std::map<std::string, rollout_status>& rollouts, instant now)
+{
+    for (const auto& [service, status] : rollouts) {
+        auto& it = standings_[service];
+        if (it.status.target != status.target) {
+            it = {};
+        }
+        const auto known = millis{static_cast<std::int64_t>(status.elapsed_ms)};
+        const bool first = it.status.target.empty();
+        it.status = status;
+        // Whichever says more: what an earlier leader wrote, or what this process has watched.
+        it.began = first ? now - known : std::min(it.began, now - known);
+    }
+}
+
+void rollout_judge::take(const rollout_view::report_row& row, instant now)
+{
+    const auto found = standings_.find(row.service);
+    if (found == standings_.end() || found->second.status.phase != rollout_phase::running) {
+        return;
+    }
+    found->second.rows.emplace_back(now, row);
+}
+
+void rollout_judge::tick(instant now)
+{
+    for (auto& [service, it] : standings_) {
+        if (it.status.phase == rollout_phase::running) {
+            decide(it, now);
+        }
+    }
+}
+
+std::uint32_t rollout_judge::share_at(double part) const
+{
+    constexpr std::uint32_t whole = 1000;
+    if (part >= settings_.whole_part) {
+        return whole;
+    }
+    if (part >= settings_.second_step_part) {
+        return settings_.second_step_permille;
+    }
+    return part >= settings_.trial_part ? settings_.first_step_permille : settings_.trial_permille;
+}
+
+rollout_judge::comparison rollout_judge::compare(standing& it, instant now) const
+{
+    while (!it.rows.empty() && it.rows.front().first + settings_.evidence_window < now) {
+        it.rows.pop_front();
+    }
+    comparison out;
+    for (const auto& [taken, row] : it.rows) {
+        auto& side = row.version == it.status.target ? out.candidate : out.incumbent;
+        side.answers += row.answers;
+        side.bad += row.bad;
+    }
+    return out;
+}
+
+void rollout_judge::decide(standing& it, instant now)
+{
+    rollout_status next = it.status;
+    const auto elapsed = std::max<std::int64_t>(0, to_millis(now - it.began));
+    next.elapsed_ms = static_cast<std::uint64_t>(elapsed);
+    const double part = static_cast<double>(next.elapsed_ms) /
+                        static_cast<double>(std::max<std::uint64_t>(1, next.duration_ms));
+    const auto [candidate, incumbent] = compare(it, now);
+    const auto found = rollout::judge(candidate, incumbent, settings_.test);
+    if (found.verdict == rollout::test_verdict::bad) {
+        next.phase = rollout_phase::rolled_back;
+        next.share_permille = 0;
+        next.reason = std::to_string(candidate.bad) + " of " + std::to_string(candidate.answers) +
+                      " answers bad, old version " + std::to_string(incumbent.bad) + " of " +
+                      std::to_string(incumbent.answers);
+    } else if (part >= settings_.complete_part && found.towards_bad <= 0) {
+        next.phase = rollout_phase::completed;
+        next.reason = std::to_string(candidate.answers) + " answers, " +
+                      std::to_string(candidate.bad) + " bad";
+    } else if (found.towards_bad <= 0) {
+        // Evidence that leans towards bad holds the share where it is until it is clear.
+        next.share_permille = std::max(next.share_permille, share_at(part));
+    }
+    const bool changed = next.phase != it.status.phase ||
+                         next.share_permille != it.status.share_permille ||
+                         next.elapsed_ms > it.status.elapsed_ms + time_written_every_ms;
+    if (changed) {
+        step_(next);
+    }
+}
+
+} // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/rollout_view.cpp
@@ -0,0 +1,150 @@
+#include "hickorypost/gateway/rollout_view.h"
+
+#include "hickorypost/base/ids.h"
+
+#include <algorithm>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+/// An answer of the new version that takes this many times as long as the old one's mean on the
+/// same route, and this much longer, counts as bad: versions that are merely slower under a burst
+/// stay below it.
+constexpr double slow_factor = 4;
+constexpr double slow_extra_ms = 150;
+constexpr double mean_weight = 0.05;
+constexpr double micros_per_milli = 1000;
+/// Bad answers of the new version, less good ones, after which this process stops using it without
+/// waiting for the leader, which may be cut off.
+constexpr std::uint32_t trip_streak = 6;
+/// A session that was not used for this long is forgotten.
+constexpr millis session_memory{15'000};
+constexpr std::size_t sessions_before_cleaning = 5000;
+constexpr double permille = 1000;
+
+void keep_version(std::vector<const backend_entry*>& candidates, const std::string& version,
+                  bool equal)
+{
+    std::erase_if(candidates,
+                  [&](const auto* it) { return (it->record.version == version) != equal; });
+}
+
+} // namespace
+
+void rollout_view::follow(const std::map<std::string, rollout_status>& rollouts)
+{
+    for (const auto& [service, status] : rollouts) {
+        auto& it = services_[service];
+        if (!it.known || it.status.target != status.target) {
+            it.tripped = false;
+            it.streak = 0;
+        }
+        it.status = status;
+        it.known = true;
+    }
+}
+
+bool rollout_view::wants_target(const service_view& it, const std::string& session, instant now)
+{
+    const auto share = static_cast<double>(it.status.share_permille) / permille;
+    if (session.empty()) {
+        return unit_random(random_) < share;
+    }
+    const auto mark = sessions_.find(session);
+    const bool known = mark != sessions_.end() && now < mark->second.used + session_memory;
+    const bool first_half = it.status.elapsed_ms * 2 < it.status.duration_ms;
+    if (known && (first_half || mark->second.version == it.status.target)) {
+        return mark->second.version == it.status.target;
+    }
+    // By hash, so that all processes choose the same for a session, and a growing share only adds
+    // to the sessions that have moved.
+    constexpr std::uint64_t buckets = 10'000;
+    return static_cast<double>(hash_bytes(session) % buckets) < share * buckets;
+}
+
+void rollout_view::note_session(const std::string& session, const std::string& version, instant now)
+{
+    if (session.empty()) {
+        return;
+    }
+    sessions_[session] = {version, now};
+    if (sessions_.size() > sessions_before_cleaning && now > clean_due_) {
+        clean_due_ = now + session_memory / 2;
+        std::erase_if(sessions_,
+                      [&](const auto& mark) { return now > mark.second.used + session_memory; });
+    }
+}
+
+void rollout_view::choose_version(const std::string& service, const std::string& session,
+                                  std::vector<const backend_entry*>& candidates, instant now)
+{
+    if (candidates.empty()) {
+        return;
+    }
+    auto& it = services_[service];
+    const bool running = it.known && it.status.phase == rollout_phase::running;
+    if (it.known && it.status.phase == rollout_phase::completed) {
+        it.incumbent = it.status.target;
+    } else if (it.incumbent.empty()) {
+        // The first version seen. A new one registers before its order has reached every process.
+        it.incumbent = candidates.front()->record.version;
+    }
+    const bool target = running && !it.tripped && wants_target(it, session, now);
+    auto chosen = candidates;
+    if (running) {
+        keep_version(chosen, it.status.target, target);
+    } else {
+        keep_version(chosen, it.incumbent, true);
+    }
+    if (chosen.empty()) {
+        // Nobody serves the wanted version: any other, but never one on trial or returned from.
+        chosen = candidates;
+        if (it.known && it.status.phase != rollout_phase::completed) {
+            keep_version(chosen, it.status.target, false);
+        }
+    }
+    candidates = std::move(chosen);
+    if (!candidates.empty()) {
+        note_session(session, candidates.front()->record.version, now);
+    }
+}
+
+void rollout_view::saw(const std::string& service, const std::string& route,
+                       const std::string& version, bool failed, micros took, instant)
+{
+    auto& it = services_[service];
+    const bool target = it.known && version == it.status.target;
+    const double ms = static_cast<double>(took.count()) / micros_per_milli;
+    double& mean = it.old_ms[route];
+    bool bad = failed;
+    if (!target && !failed) {
+        mean = mean == 0 ? ms : mean + mean_weight * (ms - mean);
+    } else if (target && mean > 0) {
+        bad = bad || (ms > slow_factor * mean && ms > mean + slow_extra_ms);
+    }
+    if (!it.known || it.status.phase != rollout_phase::running) {
+        return;
+    }
+    auto& tally = it.tallies[version];
+    ++tally.answers;
+    tally.bad += bad ? 1 : 0;
+    if (target) {
+        it.streak = bad ? it.streak + 1 : it.streak - std::min(it.streak, 1U);
+        it.tripped = it.tripped || it.streak >= trip_streak;
+    }
+}
+
+std::vector<rollout_view::report_row> rollout_view::take_report()
+{
+    std::vector<report_row> out;
+    for (auto& [service, it] : services_) {
+        for (const auto& [version, tally] : it.tallies) {
+            out.push_back({service, version, tally.answers, tally.bad});
+        }
+        it.tallies.clear();
+    }
+    return out;
+}
+
+} // namespace hickorypost::gateway
