[platform, roles] The whole path on the users' platform

platform/ decodes and encodes; the gateway role carries it: callers' connections, pool towards backend servers, mesh between hosts, control plane on the replicated log, operators' calls, readiness, drain, reload.

--- /dev/null
+++ b/src/gateway/backend_feed.cpp
@@ -0,0 +1,286 @@
+#include "gateway/backend_feed.h"
+
+#include "hickorypost/wire/codec.h"
+
+#include <algorithm>
+
+namespace hickorypost {
+
+namespace {
+
+/// Loads are spread this often: a tenth of what a model request takes, and four small messages a
+/// second a host.
+constexpr millis turn_period{250};
+/// Heartbeats without news are gathered for this many turns.
+constexpr std::uint64_t turns_per_touch = 2;
+/// A host's loads count for this long without a new report.
+constexpr millis load_life{1500};
+constexpr millis expire_period{2000};
+
+void add_to(std::map<std::string, gateway::remote_load>& sum,
+            const std::map<std::string, gateway::remote_load>& part)
+{
+    for (const auto& [id, it] : part) {
+        sum[id].requests += it.requests;
+        sum[id].prompt_tokens += it.prompt_tokens;
+    }
+}
+
+wire::load_report encode_loads(const std::map<std::string, gateway::remote_load>& loads)
+{
+    wire::load_report out;
+    for (const auto& [id, it] : loads) {
+        out.loads.push_back({id, it.requests, it.prompt_tokens});
+    }
+    return out;
+}
+
+} // namespace
+
+backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
+                           gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks)
+    : env_{env}, mesh_{mesh},
+      directory_{directory}, balancer_{balancer}, has_disk_{has_disk}, hooks_{std::move(hooks)}
+{
+}
+
+void backend_feed::start()
+{
+    timer_ = net::timer::every(turn_period, [this] { tick(); });
+}
+
+std::vector<node_id> backend_feed::targets(const node_id& from) const
+{
+    std::vector<node_id> out;
+    if (!has_disk_) {
+        // What came from elsewhere came by way of the core, which has told everyone.
+        if (from == mesh_.self() && !attached_to_.empty()) {
+            out.push_back(attached_to_);
+        }
+        return out;
+    }
+    const bool from_core = from != mesh_.self() && mesh_.is_core(from);
+    for (const auto& host : mesh_.linked()) {
+        const bool wanted = attached_.contains(host) || (mesh_.is_core(host) && !from_core);
+        if (wanted && host != from) {
+            out.push_back(host);
+        }
+    }
+    return out;
+}
+
+void backend_feed::spread(const wire::backend_update& update, const node_id& from)
+{
+    for (const auto& host : targets(from)) {
+        mesh_.send(host, update);
+    }
+}
+
+void backend_feed::take_heartbeat(const gateway::backend_record& record)
+{
+    const auto change = directory_.take(record, env_.now());
+    if (change == gateway::backend_directory::change::changed) {
+        apply(record);
+        spread({{wire::encode(record)}, {}}, mesh_.self());
+    } else if (change == gateway::backend_directory::change::touched) {
+        touches_[record.id] = record.sequence;
+    }
+}
+
+void backend_feed::apply(const gateway::backend_record& record)
+{
+    const char* const state = record.state == gateway::backend_state::ready      ? "ready"
+                              : record.state == gateway::backend_state::draining ? "draining"
+                                                                                 : "gone";
+    env_.log->info("backend server {} of {} at {} version {} is {}", record.id, record.service,
+                   record.address, record.version, state);
+    if (record.state == gateway::backend_state::gone) {
+        hooks_.gone(record.id);
+    }
+}
+
+void backend_feed::take_update(const node_id& from, const wire::backend_update& update)
+{
+    const instant now = env_.now();
+    wire::backend_update news;
+    for (const auto& bytes : update.records) {
+        const auto record = wire::try_decode<gateway::backend_record>(bytes);
+        if (!record) {
+            env_.log->error("record of a backend server from host {} cannot be read", from);
+            continue;
+        }
+        if (directory_.take(*record, now) == gateway::backend_directory::change::changed) {
+            apply(*record);
+            news.records.push_back(bytes);
+        }
+    }
+    for (const auto& it : update.touches) {
+        directory_.touch(it.id, it.sequence, now);
+        touches_[it.id] = std::max(touches_[it.id], it.sequence);
+    }
+    if (!has_disk_) {
+        touches_.clear();
+    }
+    if (!news.records.empty()) {
+        spread(news, from);
+    }
+}
+
+void backend_feed::send_all(const node_id& to)
+{
+    wire::backend_update out;
+    for (const auto& it : directory_.all()) {
+        out.records.push_back(wire::encode(it));
+    }
+    mesh_.send(to, out);
+}
+
+void backend_feed::choose_attachment()
+{
+    if (has_disk_ || (!attached_to_.empty() && mesh_.link_to(attached_to_) != nullptr)) {
+        return;
+    }
+    attached_to_.clear();
+    // One in the own failure domain if there is one: bytes between domains are dear. Else spread by
+    // hash, so that a lost host's share goes to all others.
+    std::uint64_t best = 0;
+    for (const auto& [host, domain] : mesh_.core()) {
+        const bool near = domain == env_.config.node.failure_domain;
+        const std::uint64_t rank =
+            (hash_bytes(host, hash_bytes(mesh_.self())) >> 1U) | (near ? 1ULL << 63U : 0);
+        if (mesh_.link_to(host) != nullptr && (attached_to_.empty() || rank > best)) {
+            best = rank;
+            attached_to_ = host;
+        }
+    }
+    if (!attached_to_.empty()) {
+        env_.log->info("attached to host {}", attached_to_);
+        mesh_.send(attached_to_, wire::attach{true});
+        send_all(attached_to_);
+    }
+}
+
+void backend_feed::on_link_up(const node_id& host)
+{
+    if (has_disk_ && mesh_.is_core(host)) {
+        send_all(host);
+    }
+    choose_attachment();
+}
+
+void backend_feed::on_link_down(const node_id& host)
+{
+    attached_.erase(host);
+    loads_.erase(host);
+    if (attached_to_ == host) {
+        env_.log->warn("no longer attached to host {}", host);
+        attached_to_.clear();
+        choose_attachment();
+    }
+}
+
+bool backend_feed::on_message(const node_id& from, wire::message_type type, std::string_view body)
+{
+    switch (type) {
+    case wire::message_type::attach:
+        if (const auto it = wire::try_decode<wire::attach>(body); it && it->on) {
+            attached_.insert(from);
+            send_all(from);
+        }
+        return true;
+    case wire::message_type::backend_update:
+        if (const auto it = wire::try_decode<wire::backend_update>(body)) {
+            take_update(from, *it);
+        }
+        return true;
+    case wire::message_type::load_report:
+        if (const auto it = wire::try_decode<wire::load_report>(body)) {
+            take_loads(from, *it);
+        }
+        return true;
+    default:
+        return false;
+    }
+}
+
+void backend_feed::tick()
+{
+    choose_attachment();
+    if (++turn_ % turns_per_touch == 0 && !touches_.empty()) {
+        wire::backend_update update;
+        for (const auto& [id, sequence] : touches_) {
+            update.touches.push_back({id, sequence});
+        }
+        touches_.clear();
+        // Touches of the core's own and of attached hosts are mixed here; a host that sent one gets
+        // it back, which changes nothing.
+        for (const auto& host : targets(mesh_.self())) {
+            mesh_.send(host, update);
+        }
+    }
+    send_loads();
+    if (const instant now = env_.now(); now >= expire_due_) {
+        expire_due_ = now + expire_period;
+        directory_.expire(now);
+    }
+}
+
+backend_feed::load_map backend_feed::sum_loads(bool with_core) const
+{
+    load_map out = balancer_.own_loads();
+    const instant now = env_.now();
+    for (const auto& [host, it] : loads_) {
+        if (now < it.taken + load_life && (with_core || !mesh_.is_core(host))) {
+            add_to(out, it.loads);
+        }
+    }
+    return out;
+}
+
+void backend_feed::send_loads()
+{
+    if (!has_disk_) {
+        auto own = balancer_.own_loads();
+        if (!attached_to_.empty() && !(own.empty() && sent_loads_.empty())) {
+            mesh_.send(attached_to_, encode_loads(own));
+        }
+        sent_loads_ = std::move(own);
+        return;
+    }
+    const auto subtotal = sum_loads(false);
+    const auto report = encode_loads(subtotal);
+    const auto total = encode_loads(sum_loads(true));
+    for (const auto& host : mesh_.linked()) {
+        if (mesh_.is_core(host)) {
+            if (!report.loads.empty()) {
+                mesh_.send(host, report);
+            }
+        } else if (attached_.contains(host) && !total.loads.empty()) {
+            mesh_.send(host, total);
+        }
+    }
+}
+
+void backend_feed::take_loads(const node_id& from, const wire::load_report& report)
+{
+    load_map loads;
+    for (const auto& it : report.loads) {
+        loads[it.id] = {it.requests, it.prompt_tokens};
+    }
+    const instant now = env_.now();
+    if (has_disk_) {
+        loads_[from] = {loads, now};
+        balancer_.take_remote(from, std::move(loads), now);
+        return;
+    }
+    // The total holds what this host reported last.
+    for (const auto& [id, own] : sent_loads_) {
+        if (const auto it = loads.find(id); it != loads.end()) {
+            it->second.requests = std::max(0.0, it->second.requests - own.requests);
+            it->second.prompt_tokens = std::max(0.0, it->second.prompt_tokens - own.prompt_tokens);
+        }
+    }
+    balancer_.take_remote("total", std::move(loads), now);
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,248 @@
+#include "gateway/caller_connection.h"
+
+#include <utility>
+
+namespace hickorypost {
+
+namespace {
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_body_too_large = 413;
+constexpr unsigned status_head_too_large = 431;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
+/// Unacknowledged bytes or unanswered probes after which a caller's connection is dead.
+constexpr millis silence_limit{10'000};
+
+bool has_no_body(unsigned status)
+{
+    return status == status_no_content || status == status_not_modified;
+}
+
+http1::parse_limits limits_of(const gateway::caller_limits& it)
+{
+    return {it.head_bytes, it.body_bytes};
+}
+
+} // namespace
+
+caller_connection::caller_connection(caller_server& server, int fd)
+    : server_{server}, stream_{net::tcp_stream::adopt(server.poller_, fd, silence_limit)},
+      parser_{limits_of(server.options_.limits())}
+{
+}
+
+caller_connection::~caller_connection()
+{
+    server_.timers_.cancel(timer_);
+    server_.poller_.forget(*this);
+}
+
+void caller_connection::start()
+{
+    net::tcp_stream::hooks hooks;
+    hooks.bytes = [this](std::string_view bytes) { take(bytes); };
+    hooks.drained = [this] {
+        if (exchange_) {
+            exchange_->caller_drained();
+        }
+    };
+    hooks.ended = [this](net::stream_end) { gone(); };
+    stream_->set_hooks(std::move(hooks));
+    arm_timer();
+}
+
+void caller_connection::arm_timer()
+{
+    const auto limits = server_.options_.limits();
+    head_timer_ = parser_.begun();
+    server_.timers_.cancel(timer_);
+    timer_ = server_.timers_.add(
+        server_.now_() + (head_timer_ ? limits.head_timeout : limits.idle_timeout), [this] {
+            timer_ = 0;
+            time_passed();
+        });
+}
+
+void caller_connection::time_passed()
+{
+    const auto keep = shared_from_this();
+    if (busy_) {
+        return;
+    }
+    if (parser_.begun()) {
+        keep_alive_ = false;
+        busy_ = true;
+        respond(gateway::own_answer(status_request_timeout), {});
+        return;
+    }
+    close();
+    server_.remove(this);
+}
+
+void caller_connection::take(std::string_view bytes)
+{
+    const auto keep = shared_from_this();
+    parser_.push(bytes);
+    if (!busy_) {
+        advance();
+    }
+}
+
+void caller_connection::advance()
+{
+    if (parser_.fault() != http1::parse_fault::none) {
+        refuse(parser_.fault());
+        return;
+    }
+    if (parser_.done()) {
+        dispatch();
+        return;
+    }
+    if (parser_.head_done() && std::exchange(parser_.head().expects_continue, false)) {
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (parser_.begun() != head_timer_ || timer_ == 0) {
+        arm_timer();
+    }
+}
+
+void caller_connection::refuse(http1::parse_fault fault)
+{
+    unsigned status = status_bad_request;
+    if (fault == http1::parse_fault::head_too_large) {
+        status = status_head_too_large;
+    } else if (fault == http1::parse_fault::body_too_large) {
+        status = status_body_too_large;
+    }
+    // What follows on this connection cannot be told apart from the rest of the refused request.
+    keep_alive_ = false;
+    busy_ = true;
+    respond(gateway::own_answer(status), {});
+}
+
+void caller_connection::dispatch()
+{
+    busy_ = true;
+    server_.timers_.cancel(std::exchange(timer_, 0));
+    keep_alive_ = parser_.head().keep_alive;
+    bodyless_ = parser_.head().method == "HEAD";
+    incoming_request it{std::move(parser_.head()), std::move(parser_.body()), shared_from_this()};
+    auto way = server_.options_.handle(std::move(it));
+    if (way) {
+        exchange_ = std::move(way);
+        exchange_->start();
+    }
+}
+
+void caller_connection::respond(http1::response_head head, std::string body)
+{
+    if (closed_) {
+        return;
+    }
+    keep_alive_ = keep_alive_ && !server_.draining_;
+    if (!has_no_body(head.status)) {
+        head.fields.add("Content-Length", std::to_string(body.size()));
+    }
+    if (!keep_alive_) {
+        head.fields.add("Connection", "close");
+    }
+    std::string out = http1::write_response_head(head);
+    if (!bodyless_ && !has_no_body(head.status)) {
+        out.append(body);
+    }
+    stream_->write(out);
+    answered();
+}
+
+void caller_connection::begin(http1::response_head head)
+{
+    if (closed_) {
+        return;
+    }
+    keep_alive_ = keep_alive_ && !server_.draining_;
+    head.fields.add("Transfer-Encoding", "chunked");
+    if (!keep_alive_) {
+        head.fields.add("Connection", "close");
+    }
+    stream_->write(http1::write_response_head(head));
+}
+
+void caller_connection::piece(std::string_view bytes)
+{
+    if (closed_) {
+        return;
+    }
+    std::string out;
+    http1::append_chunk(out, bytes);
+    stream_->write(out);
+}
+
+void caller_connection::end()
+{
+    if (closed_) {
+        return;
+    }
+    stream_->write(http1::last_chunk);
+    answered();
+}
+
+void caller_connection::break_off()
+{
+    // No last chunk: the caller sees that the answer is not whole.
+    keep_alive_ = false;
+    answered();
+}
+
+void caller_connection::answered()
+{
+    turn_over_ = true;
+    server_.poller_.flush_later(*this);
+}
+
+void caller_connection::flush()
+{
+    if (!std::exchange(turn_over_, false)) {
+        return;
+    }
+    const auto keep = shared_from_this();
+    exchange_.reset();
+    busy_ = false;
+    if (!keep_alive_ || closed_) {
+        close();
+        server_.remove(this);
+        return;
+    }
+    parser_.set_limits(limits_of(server_.options_.limits()));
+    parser_.next();
+    if (parser_.begun()) {
+        advance();
+    } else {
+        arm_timer();
+    }
+}
+
+void caller_connection::gone()
+{
+    const auto keep = shared_from_this();
+    closed_ = true;
+    if (exchange_) {
+        exchange_->caller_left();
+        exchange_.reset();
+    }
+    server_.remove(this);
+}
+
+void caller_connection::close()
+{
+    closed_ = true;
+    if (exchange_) {
+        exchange_->caller_left();
+        exchange_.reset();
+    }
+    server_.timers_.cancel(std::exchange(timer_, 0));
+    stream_->close();
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/control_calls.cpp
@@ -0,0 +1,188 @@
+#include "gateway/control_calls.h"
+
+#include "hickorypost/platform/calls.h"
+#include "hickorypost/platform/control_codec.h"
+#include "hickorypost/telemetry/event_line.h"
+
+namespace hickorypost {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_not_allowed = 405;
+constexpr unsigned status_unavailable = 503;
+
+void answer(gateway::caller_port& to, unsigned status, std::string body)
+{
+    http1::response_head head;
+    head.status = status;
+    head.fields.add("Content-Type", "application/json");
+    to.respond(std::move(head), std::move(body));
+}
+
+void refuse(gateway::caller_port& to, unsigned status, std::string_view why)
+{
+    answer(to, status, platform::encode_error(why));
+}
+
+/// Runs `body`, which decodes; what it cannot read is refused with the place named.
+template <class Body>
+void decode_or_refuse(runtime& env, const incoming_request& request, std::string_view what,
+                      const Body& body)
+{
+    value_or_handle<platform::body_error>(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(body());
+            return true;
+        },
+        [&](const platform::body_error& error) {
+            const std::string why = platform::describe(error);
+            env.log->warn("{} refused: {}", what, why);
+            refuse(*request.answer, status_bad_request, why);
+            return false;
+        });
+}
+
+} // namespace
+
+void control_calls::handle(incoming_request request)
+{
+    const auto call = platform::decode_call(request.head.method, request.head.target);
+    switch (call.kind) {
+    case platform::call_kind::heartbeat:
+        return heartbeat(call.argument, request);
+    case platform::call_kind::leave:
+        return leave(call.argument, request);
+    case platform::call_kind::put_config:
+        return put_config(std::move(request));
+    case platform::call_kind::get_config:
+        return get_config(request);
+    case platform::call_kind::begin_rollout:
+        return begin_rollout(request);
+    case platform::call_kind::get_rollout:
+        return get_rollout(call.argument, request);
+    case platform::call_kind::ready:
+    case platform::call_kind::unknown:
+        break;
+    }
+    refuse(*request.answer, call.known_path ? status_not_allowed : status_not_found,
+           call.known_path ? "method not allowed" : "no such call");
+}
+
+void control_calls::heartbeat(const std::string& id, const incoming_request& request)
+{
+    decode_or_refuse(env_, request, "heartbeat", [&]() -> result<void> {
+        BOOST_LEAF_AUTO(record, platform::decode_heartbeat(id, request.body));
+        // An acknowledgement promises that all hosts in touch will obey. Cut off from the core this
+        // host cannot tell them; the backend server then asks another one.
+        if (!control_.connected()) {
+            refuse(*request.answer, status_unavailable, "no contact with the control log");
+            return {};
+        }
+        feed_.take_heartbeat(record);
+        answer(*request.answer, status_ok, "{}");
+        return {};
+    });
+}
+
+void control_calls::leave(const std::string& id, const incoming_request& request)
+{
+    if (!control_.connected()) {
+        refuse(*request.answer, status_unavailable, "no contact with the control log");
+        return;
+    }
+    gateway::backend_record record;
+    record.id = id;
+    record.state = gateway::backend_state::gone;
+    feed_.take_heartbeat(record);
+    answer(*request.answer, status_ok, "{}");
+}
+
+void control_calls::put_config(incoming_request request)
+{
+    decode_or_refuse(env_, request, "configuration", [&]() -> result<void> {
+        BOOST_LEAF_AUTO(config, platform::decode_config(request.body));
+        if (const auto fault = gateway::find_fault(config)) {
+            const std::string why = fault->place + ": " + fault->what;
+            env_.log->warn("configuration {} refused: {}", config.version, why);
+            refuse(*request.answer, status_bad_request, why);
+            return {};
+        }
+        gateway::control_command command;
+        command.kind = gateway::control_kind::put_config;
+        command.config_version = config.version;
+        command.config_text = std::move(request.body);
+        control_.commit(command, [this, to = request.answer,
+                                  version = config.version](control_plane::order_status status,
+                                                            const gateway::site_state*) {
+            const bool good = status == control_plane::order_status::done;
+            env_.log->info("configuration {} {}", version,
+                           good ? "acknowledged" : "has no clear fate: no leader answered");
+            if (good) {
+                answer(*to, status_ok, "{}");
+            } else {
+                refuse(*to, status_unavailable, "no quorum just now");
+            }
+        });
+        return {};
+    });
+}
+
+void control_calls::get_config(const incoming_request& request)
+{
+    control_.read_newest([to = request.answer](control_plane::order_status status,
+                                               const gateway::site_state* state) {
+        if (status != control_plane::order_status::done || state == nullptr) {
+            refuse(*to, status_unavailable,
+                   "the newest configuration cannot be confirmed just now");
+        } else if (state->config_version == 0 && state->config_text.empty()) {
+            refuse(*to, status_not_found, "no configuration yet");
+        } else {
+            answer(*to, status_ok, state->config_text);
+        }
+    });
+}
+
+void control_calls::begin_rollout(const incoming_request& request)
+{
+    decode_or_refuse(env_, request, "roll-out", [&]() -> result<void> {
+        BOOST_LEAF_AUTO(order, platform::decode_rollout(request.body));
+        gateway::control_command command;
+        command.kind = gateway::control_kind::begin_rollout;
+        command.rollout = order;
+        control_.commit(
+            command, [this, to = request.answer, order](control_plane::order_status status,
+                                                        const gateway::site_state*) {
+                const bool good = status == control_plane::order_status::done;
+                env_.log->info("roll-out of {} to {} {}", order.service, order.target,
+                               good ? "acknowledged" : "has no clear fate: no leader answered");
+                if (good) {
+                    answer(*to, status_ok, "{}");
+                } else {
+                    refuse(*to, status_unavailable, "no quorum just now");
+                }
+            });
+        return {};
+    });
+}
+
+void control_calls::get_rollout(const std::string& service, const incoming_request& request)
+{
+    control_.read_newest([to = request.answer, service](control_plane::order_status status,
+                                                        const gateway::site_state* state) {
+        if (status != control_plane::order_status::done || state == nullptr) {
+            refuse(*to, status_unavailable, "the newest state cannot be confirmed just now");
+            return;
+        }
+        const auto it = state->rollouts.find(service);
+        if (it == state->rollouts.end()) {
+            refuse(*to, status_not_found, "no roll-out of this service");
+        } else {
+            answer(*to, status_ok, platform::encode_rollout(it->second));
+        }
+    });
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/gateway_role.cpp
@@ -0,0 +1,302 @@
+#include "gateway/gateway_role.h"
+
+#include "hickorypost/platform/caller_codec.h"
+#include "hickorypost/platform/calls.h"
+#include "hickorypost/platform/control_codec.h"
+
+#include <cerrno>
+#include <cstring>
+
+namespace hickorypost {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+/// When a caller may come back to a host that has no configuration yet.
+constexpr millis no_config_retry{300};
+constexpr millis tick_period{250};
+constexpr std::uint64_t ticks_per_second = 4;
+constexpr millis drain_poll{100};
+/// The platform asks for readiness once a second and takes a host out after two refusals; until
+/// then callers open new connections, which must not be refused.
+constexpr millis drain_least{2600};
+/// Idle connections are closed once no new ones come, so that callers move on.
+constexpr millis drain_close_idle{2200};
+/// Before the platform kills the process, what still runs is cut off by the process itself.
+constexpr millis drain_margin{500};
+/// Bodies of configurations; the platform bounds them lower.
+constexpr std::uint64_t control_body_bytes = std::uint64_t{8} << 20U;
+
+gateway::caller_limits control_limits()
+{
+    gateway::caller_limits out;
+    out.body_bytes = control_body_bytes;
+    out.idle_timeout = millis{60'000};
+    return out;
+}
+
+} // namespace
+
+gateway_role::gateway_role(runtime& env)
+    : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
+      balancer_{{}, env.config.node.failure_domain, env.random}, rollouts_{env.random}, models_{{}},
+      pool_{poller_, timers_, env.now, {}}, journal_{env, config_.log_requests_per_second},
+      services_{directory_,
+                balancer_,
+                rollouts_,
+                models_,
+                windows_,
+                pool_,
+                timers_,
+                env.now,
+                env.random,
+                {},
+                {.window = config_.retry_window,
+                 .ratio = config_.retry_ratio,
+                 .slack = config_.retry_slack},
+                [this] { return control_->hosts(); },
+                platform::encode_request,
+                platform::decode_answer,
+                [this](const gateway::exchange_record& it) { journal_.finished(it); },
+                [this](const gateway::exchange_record& it, std::string_view what,
+                       std::string_view why) { journal_.decision(it, what, why); }}
+{
+}
+
+gateway_role::~gateway_role() = default;
+
+result<std::unique_ptr<gateway_role>> gateway_role::start(runtime& env)
+{
+    std::unique_ptr<gateway_role> out{new gateway_role{env}};
+    BOOST_LEAF_CHECK(out->open());
+    return out;
+}
+
+result<void> gateway_role::open()
+{
+    const bool has_disk = !config_.data.empty();
+    mesh_hooks hooks;
+    hooks.up = [this](const node_id& host) {
+        control_->on_link_up(host);
+        feed_->on_link_up(host);
+    };
+    hooks.down = [this](const node_id& host) {
+        control_->on_link_down(host);
+        feed_->on_link_down(host);
+    };
+    hooks.message = [this](const node_id& from, wire::message_type type, std::string_view body) {
+        if (!control_->on_message(from, type, body) && !feed_->on_message(from, type, body)) {
+            env_.log->warn("message of unknown type {} from host {}", static_cast<unsigned>(type),
+                           from);
+        }
+    };
+    BOOST_LEAF_ASSIGN(mesh_, peer_mesh::open(env_, config_.internal, has_disk, std::move(hooks)));
+    control_hooks for_control;
+    for_control.changed = [this](const gateway::site_state& state) { take_state(state); };
+    control_ = std::make_unique<control_plane>(env_, *mesh_, std::move(for_control));
+    feed_hooks for_feed;
+    for_feed.gone = [this](const std::string& backend) {
+        pool_.forget(backend);
+        balancer_.forget(backend);
+    };
+    feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, balancer_, has_disk,
+                                           std::move(for_feed));
+    calls_ = std::make_unique<control_calls>(env_, *control_, *feed_);
+
+    const auto no_way = [](const auto& body) {
+        return [body](incoming_request it) -> std::unique_ptr<gateway::exchange> {
+            body(std::move(it));
+            return nullptr;
+        };
+    };
+    BOOST_LEAF_ASSIGN(control_server_,
+                      serve(config_.control, {control_limits, no_way([this](incoming_request it) {
+                                                  calls_->handle(std::move(it));
+                                              })}));
+    BOOST_LEAF_ASSIGN(ready_server_,
+                      serve(config_.ready, {control_limits,
+                                            no_way([this](const auto& it) { handle_ready(it); })}));
+    BOOST_LEAF_ASSIGN(
+        callers_server_,
+        serve(config_.callers,
+              {[this] { return table_ ? table_->config().limits : gateway::caller_limits{}; },
+               [this](incoming_request it) { return handle_caller(std::move(it)); }}));
+    if (config_.metrics.port != 0) {
+        BOOST_LEAF_ASSIGN(metrics_server_,
+                          serve(config_.metrics, {control_limits, no_way([this](const auto& it) {
+                                                      handle_metrics(it);
+                                                  })}));
+    }
+    env_.metrics.on_collect([this](telemetry::metrics& to) { collect_metrics(to); });
+    mesh_->dial_seeds(config_.seeds);
+    control_->start();
+    feed_->start();
+    tick_timer_ = net::timer::every(tick_period, [this] { tick(); });
+    env_.log->info("gateway started: data folder {}, {} seeds, first start {}",
+                   has_disk ? config_.data : "none", config_.seeds.size(), config_.first_start);
+    return {};
+}
+
+result<std::unique_ptr<caller_server>> gateway_role::serve(const net::peer_address& at,
+                                                           caller_server::options how)
+{
+    const std::string text = at.host + ":" + std::to_string(at.port);
+    const auto where = net::endpoint::parse(text);
+    auto out =
+        where ? caller_server::open(poller_, timers_, env_.now, *where, std::move(how)) : nullptr;
+    if (!out) {
+        return leaf::new_error(
+            net::listen_error{text, where ? std::strerror(errno) : "not an IPv4 address"});
+    }
+    return out;
+}
+
+bool gateway_role::ready() const
+{
+    return table_ != nullptr && control_->synced() && !draining_;
+}
+
+void gateway_role::handle_ready(const incoming_request& request) const
+{
+    const auto call = platform::decode_call(request.head.method, request.head.target);
+    const bool good = call.kind == platform::call_kind::ready && ready();
+    http1::response_head head;
+    head.status = call.kind != platform::call_kind::ready ? status_not_found
+                  : good                                  ? status_ok
+                                                          : status_unavailable;
+    request.answer->respond(std::move(head), {});
+}
+
+void gateway_role::handle_metrics(const incoming_request& request)
+{
+    http1::response_head head;
+    head.status = status_ok;
+    head.fields.add("Content-Type", "text/plain; version=0.0.4");
+    request.answer->respond(std::move(head), env_.metrics.text());
+}
+
+std::unique_ptr<gateway::exchange> gateway_role::reject(const incoming_request& request,
+                                                        const gateway::caller_request& decoded,
+                                                        unsigned status, std::string_view why)
+{
+    journal_.rejected(decoded, status, why, table_ ? table_->config().version : 0);
+    const auto wait = status == status_unavailable ? std::optional{no_config_retry} : std::nullopt;
+    request.answer->respond(gateway::own_answer(status, wait), {});
+    return nullptr;
+}
+
+std::unique_ptr<gateway::exchange> gateway_role::handle_caller(incoming_request request)
+{
+    auto decoded = platform::decode_request(std::move(request.head), std::move(request.body));
+    if (table_ == nullptr || !control_->synced()) {
+        return reject(request, decoded, status_unavailable, "no configuration yet");
+    }
+    const auto* const route = table_->find_route(decoded.host, decoded.target);
+    if (route == nullptr) {
+        return reject(request, decoded, status_not_found, "no route");
+    }
+    const gateway::account_spec* account = nullptr;
+    if (table_->config().has_accounts && route->needs_key) {
+        account = table_->find_account(decoded.key);
+        if (account == nullptr) {
+            return reject(request, decoded, status_unauthorized, "unknown key");
+        }
+    }
+    return std::make_unique<gateway::exchange>(services_, *request.answer, std::move(decoded),
+                                               table_, *route, account);
+}
+
+void gateway_role::take_state(const gateway::site_state& state)
+{
+    rollouts_.follow(state.rollouts);
+    if (state.config_text.empty() || (table_ && state.config_version <= table_->config().version)) {
+        return;
+    }
+    const bool good = value_or_handle<platform::body_error>(
+        [&]() -> result<bool> {
+            BOOST_LEAF_AUTO(config, platform::decode_config(state.config_text));
+            table_ = std::make_shared<const gateway::route_table>(std::move(config));
+            return true;
+        },
+        [&](const platform::body_error& error) {
+            env_.log->error("accepted configuration {} cannot be read: {}", state.config_version,
+                            platform::describe(error));
+            return false;
+        });
+    if (good) {
+        env_.log->info("configuration {} in force: {} routes, {} accounts, revision {}",
+                       state.config_version, table_->config().routes.size(),
+                       table_->config().accounts.size(), state.revision);
+    }
+}
+
+void gateway_role::tick()
+{
+    control_->take_versions(rollouts_.take_report());
+    if (ready() != was_ready_) {
+        was_ready_ = ready();
+        env_.log->info("ready: {}", was_ready_);
+    }
+    if (++turn_ % ticks_per_second == 0) {
+        journal_.tick();
+    }
+    env_.log->flush();
+}
+
+void gateway_role::reload(const settings& config)
+{
+    if (config.gateway) {
+        mesh_->dial_seeds(config.gateway->seeds);
+        env_.log->info("settings taken over: {} seeds", config.gateway->seeds.size());
+    }
+}
+
+void gateway_role::drain(std::function<void()> done)
+{
+    draining_ = true;
+    drain_began_ = env_.now();
+    callers_server_->begin_drain();
+    control_->hand_over();
+    drain_timer_ =
+        net::timer::every(drain_poll, [this, done = std::move(done)] { drain_step(done); });
+}
+
+void gateway_role::drain_step(const std::function<void()>& done)
+{
+    const auto since = env_.now() - drain_began_;
+    if (since >= drain_close_idle) {
+        callers_server_->close_idle();
+    }
+    const bool finished = since >= drain_least && callers_server_->connections() == 0;
+    if (finished || since >= config_.grace - drain_margin) {
+        env_.log->info("drained: {} requests cut off", callers_server_->in_flight());
+        drain_timer_.cancel();
+        env_.log->flush();
+        done();
+    }
+}
+
+void gateway_role::collect_metrics(telemetry::metrics& to) const
+{
+    to.set("config_version", table_ ? static_cast<double>(table_->config().version) : 0);
+    to.set("ready", ready() ? 1 : 0);
+    to.set("backends_known", static_cast<double>(directory_.size()));
+    to.set("backend_connections{state=\"idle\"}", static_cast<double>(pool_.idle()));
+    to.set("backend_connections{state=\"busy\"}", static_cast<double>(pool_.busy()));
+    to.set("backend_connections_opened", static_cast<double>(pool_.opened()));
+    to.set("caller_connections", static_cast<double>(callers_server_->connections()));
+    to.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
+    to.set("hosts", static_cast<double>(control_->hosts()));
+    to.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
+    to.set("site_revision", static_cast<double>(control_->state().revision));
+    if (const auto* group = control_->group(); group != nullptr) {
+        to.set("control_log_term", static_cast<double>(group->core().term()));
+        to.set("control_log_commit_index", static_cast<double>(group->core().commit_index()));
+        to.set("control_log_leads", group->core().role() == replog::replica_role::leader ? 1 : 0);
+    }
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/peer_mesh.cpp
@@ -0,0 +1,153 @@
+#include "gateway/peer_mesh.h"
+
+namespace hickorypost {
+
+namespace {
+
+/// A link's heartbeat, and the silence after which it is replaced: hosts must notice a dead link
+/// well within the three seconds in which a change has to reach all of them.
+constexpr millis link_heartbeat{400};
+constexpr millis link_silence{1300};
+constexpr millis longest_redial{800};
+
+} // namespace
+
+peer_mesh::peer_mesh(runtime& env, net::peer_address self, bool has_disk, mesh_hooks hooks)
+    : env_{env}, self_{std::move(self)}, has_disk_{has_disk}, hooks_{std::move(hooks)}
+{
+    if (has_disk_) {
+        core_.emplace(self_.host, env_.config.node.failure_domain);
+    }
+}
+
+result<std::unique_ptr<peer_mesh>> peer_mesh::open(runtime& env, const net::peer_address& self,
+                                                   bool has_disk, mesh_hooks hooks)
+{
+    std::unique_ptr<peer_mesh> out{new peer_mesh{env, self, has_disk, std::move(hooks)}};
+    BOOST_LEAF_CHECK(out->open_listener());
+    return out;
+}
+
+wire::hello peer_mesh::hello() const
+{
+    auto out = env_.hello(has_disk_ ? wire::node_role::control : wire::node_role::entry);
+    out.node = self_.host;
+    return out;
+}
+
+net::link_options peer_mesh::link_options() const
+{
+    net::link_options out;
+    out.heartbeat = link_heartbeat;
+    out.silence_limit = link_silence;
+    return out;
+}
+
+result<void> peer_mesh::open_listener()
+{
+    net::link_hooks hooks;
+    hooks.up = [this](net::link& it) {
+        incoming_[it.peer().node].insert(&it);
+        on_up(it);
+    };
+    hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
+        hooks_.message(it.peer().node, type, body);
+    };
+    hooks.down = [this](net::link& it, std::string_view why) {
+        incoming_[it.peer().node].erase(&it);
+        on_down(it, why);
+    };
+    BOOST_LEAF_ASSIGN(
+        listener_, net::listener::open(self_, hello(), env_.tls, link_options(), std::move(hooks)));
+    return {};
+}
+
+void peer_mesh::dial_seeds(const std::vector<node_id>& seeds)
+{
+    for (const auto& it : seeds) {
+        dial(it);
+    }
+}
+
+bool peer_mesh::learn_core(const wire::host_info& host)
+{
+    if (!core_.emplace(host.host, host.failure_domain).second) {
+        return false;
+    }
+    dial(host.host);
+    return true;
+}
+
+void peer_mesh::dial(const node_id& host)
+{
+    if (host == self_.host || connectors_.contains(host)) {
+        return;
+    }
+    net::link_hooks hooks;
+    hooks.up = [this](net::link& it) { on_up(it); };
+    hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
+        hooks_.message(it.peer().node, type, body);
+    };
+    hooks.down = [this](net::link& it, std::string_view why) { on_down(it, why); };
+    net::connector_options options;
+    options.longest_retry = longest_redial;
+    options.connect_limit = millis{1000};
+    options.link = link_options();
+    connectors_[host] =
+        std::make_unique<net::connector>(net::peer_address{host, self_.port}, hello(), env_.tls,
+                                         options, env_.random, std::move(hooks));
+}
+
+void peer_mesh::on_up(net::link& it)
+{
+    const auto& peer = it.peer();
+    if (peer.role == wire::node_role::control) {
+        learn_core({peer.node, peer.failure_domain});
+    }
+    env_.log->info("link to host {} is up", peer.node);
+    hooks_.up(peer.node);
+}
+
+void peer_mesh::on_down(net::link& it, std::string_view why)
+{
+    const node_id host = it.peer().node;
+    env_.log->info("link to host {} is down: {}", host, why);
+    if (link_to(host) == nullptr) {
+        hooks_.down(host);
+    }
+}
+
+net::link* peer_mesh::link_to(const node_id& to) const
+{
+    if (const auto it = connectors_.find(to); it != connectors_.end()) {
+        if (net::link* const up = it->second->current(); up != nullptr) {
+            return up;
+        }
+    }
+    if (const auto it = incoming_.find(to); it != incoming_.end()) {
+        for (net::link* const up : it->second) {
+            if (up->is_up()) {
+                return up;
+            }
+        }
+    }
+    return nullptr;
+}
+
+std::vector<node_id> peer_mesh::linked() const
+{
+    std::set<node_id> out;
+    for (const auto& [host, it] : connectors_) {
+        if (it->current() != nullptr) {
+            out.insert(host);
+        }
+    }
+    for (const auto& [host, links] : incoming_) {
+        if (link_to(host) != nullptr) {
+            out.insert(host);
+        }
+    }
+    return {out.begin(), out.end()};
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/request_journal.cpp
@@ -0,0 +1,143 @@
+#include "gateway/request_journal.h"
+
+#include "hickorypost/telemetry/event_line.h"
+
+namespace hickorypost {
+
+namespace {
+
+/// Failures may write this many times the lines of requests that went well.
+constexpr double failure_factor = 10;
+constexpr double micros_per_second = 1e6;
+
+std::string_view kind_name(gateway::request_kind kind)
+{
+    switch (kind) {
+    case gateway::request_kind::safe:
+        return "safe";
+    case gateway::request_kind::unsafe:
+        return "unsafe";
+    case gateway::request_kind::streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
+
+std::string labelled(std::string_view name, const gateway::exchange_record& record)
+{
+    std::string out{name};
+    out.append("{route=\"").append(record.route).append("\",kind=\"");
+    out.append(kind_name(record.kind)).append("\",outcome=\"");
+    out.append(gateway::name_of(record.outcome)).append("\"}");
+    return out;
+}
+
+} // namespace
+
+request_journal::request_journal(runtime& env, double lines_per_second)
+    : env_{env}, ordinary_per_second_{lines_per_second}, ordinary_left_{lines_per_second},
+      failures_left_{lines_per_second * failure_factor}
+{
+}
+
+bool request_journal::may_write(bool failure)
+{
+    double& left = failure ? failures_left_ : ordinary_left_;
+    if (left < 1) {
+        ++(failure ? failures_left_out_ : left_out_);
+        return false;
+    }
+    left -= 1;
+    return true;
+}
+
+void request_journal::finished(const gateway::exchange_record& record)
+{
+    constexpr unsigned first_error = 400;
+    const bool failure = record.outcome != gateway::exchange_outcome::answered ||
+                         record.status >= first_error || record.attempts > 1;
+    env_.metrics.count(labelled("requests_total", record));
+    env_.metrics.count("attempts_total", record.attempts);
+    env_.metrics.observe("request_seconds",
+                         static_cast<double>(record.total.count()) / micros_per_second);
+    if (record.to_first.count() > 0) {
+        env_.metrics.observe("first_answer_seconds",
+                             static_cast<double>(record.to_first.count()) / micros_per_second);
+    }
+    if (!may_write(failure)) {
+        return;
+    }
+    telemetry::event_line line{"request_ended"};
+    line.add("request", record.id)
+        .add("route", record.route)
+        .add("kind", kind_name(record.kind))
+        .add("account", record.account)
+        .add("outcome", gateway::name_of(record.outcome))
+        .add("status", record.status)
+        .add("reason", record.reason)
+        .add("service", record.service)
+        .add("backend", record.backend)
+        .add("version", record.version)
+        .add("model", record.model)
+        .add("attempts", record.attempts)
+        .add("candidates", record.candidates)
+        .add("config_version", record.config_version)
+        .add("events", record.events)
+        .add("first_ms", to_millis(record.to_first))
+        .add("total_ms", to_millis(record.total));
+    env_.log->info("{}", line.payload());
+}
+
+void request_journal::rejected(const gateway::caller_request& request, unsigned status,
+                               std::string_view why, std::uint64_t config_version)
+{
+    env_.metrics.count("requests_rejected_total{status=\"" + std::to_string(status) + "\"}");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"request_rejected"};
+    line.add("request", request.id)
+        .add("host", request.host)
+        .add("target", request.target)
+        .add("status", status)
+        .add("reason", why)
+        .add("config_version", config_version);
+    env_.log->info("{}", line.payload());
+}
+
+void request_journal::decision(const gateway::exchange_record& record, std::string_view what,
+                               std::string_view why)
+{
+    env_.metrics.count("request_decisions_total{decision=\"" + std::string{what} + "\"}");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"request_" + std::string{what}};
+    line.add("request", record.id)
+        .add("reason", why)
+        .add("service", record.service)
+        .add("backend", record.backend)
+        .add("version", record.version)
+        .add("model", record.model)
+        .add("attempts", record.attempts)
+        .add("candidates", record.candidates);
+    env_.log->info("{}", line.payload());
+}
+
+void request_journal::tick()
+{
+    ordinary_left_ = ordinary_per_second_;
+    failures_left_ = ordinary_per_second_ * failure_factor;
+    if (left_out_ + failures_left_out_ == 0) {
+        return;
+    }
+    telemetry::event_line line{"lines_left_out"};
+    line.add("ordinary", left_out_).add("failures", failures_left_out_);
+    env_.log->info("{}", line.payload());
+    env_.metrics.count("log_lines_left_out_total",
+                       static_cast<double>(left_out_ + failures_left_out_));
+    left_out_ = 0;
+    failures_left_out_ = 0;
+}
+
+} // namespace hickorypost
--- /dev/null
+++ b/src/gateway/request_journal.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "hickorypost/gateway/exchange.h"
+#include "runtime.h"
+
+namespace hickorypost {
+
+/// Log lines and metrics of requests. Failures are always preferred: lines for what went well are
+/// bounded by a rate, and what was left out is counted.
+class request_journal {
+public:
+    request_journal(runtime& env, double lines_per_second);
+
+    void finished(const gateway::exchange_record& record);
+    /// Refused before any attempt.
+    void rejected(const gateway::caller_request& request, unsigned status, std::string_view why,
+                  std::uint64_t config_version);
+    void decision(const gateway::exchange_record& record, std::string_view what,
+                  std::string_view why);
+    /// Once a second: gives the rates anew and says what was left out.
+    void tick();
+
+private:
+    bool may_write(bool failure);
+
+    runtime& env_;
+    double ordinary_per_second_;
+    double ordinary_left_;
+    double failures_left_;
+    std::uint64_t left_out_ = 0;
+    std::uint64_t failures_left_out_ = 0;
+};
+
+} // namespace hickorypost
--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -3,9 +3,12 @@
 #include "agent_role.h"
 #include "control_role.h"
 #include "entry_role.h"
+#include "gateway/gateway_role.h"
 #include "hickorypost/storage/file_system.h"
 #include "verbs.h"
 
+#include <cstdlib>
+#include <filesystem>
 #include <glib-unix.h>
 #include <iostream>
 
@@ -13,6 +16,27 @@
 
 namespace {
 
+std::shared_ptr<spdlog::logger> logger_for(const settings& config)
+{
+    const auto level = spdlog::level::from_str(config.node.log_level);
+    if (config.gateway && config.node.log_json) {
+        return telemetry::make_event_logger(config.node.name, level);
+    }
+    const auto form = config.node.log_json ? telemetry::log_form::json : telemetry::log_form::text;
+    return telemetry::make_logger(config.node.name, form, level);
+}
+
+/// How often a settings file is looked at for changes that no signal announced.
+constexpr millis settings_poll{2000};
+
+/// When the file was last written; the epoch if it cannot be told.
+std::filesystem::file_time_type written_at(const std::string& path)
+{
+    std::error_code ec;
+    const auto out = std::filesystem::last_write_time(path, ec);
+    return ec ? std::filesystem::file_time_type{} : out;
+}
+
 /// The main loop with its roles. The first signal drains; the second ends at once.
 class process {
 public:
@@ -24,11 +48,7 @@
                                             system_clock_fn(),
                                             system_wall_clock_fn(),
                                             random_,
-                                            telemetry::make_logger(
-                                                config.node.name,
-                                                config.node.log_json ? telemetry::log_form::json
-                                                                     : telemetry::log_form::text,
-                                                spdlog::level::from_str(config.node.log_level)),
+                                            logger_for(config),
                                             metrics_,
                                             spans_,
                                             nullptr,
@@ -67,6 +87,12 @@
             BOOST_LEAF_AUTO(it, entry_role::start(env_));
             roles_.push_back(std::move(it));
         }
+        if (config.gateway && wanted("gateway")) {
+            BOOST_LEAF_AUTO(it, gateway_role::start(env_));
+            roles_.push_back(std::move(it));
+            settings_written_ = written_at(config.path);
+            settings_timer_ = net::timer::every(settings_poll, [this] { look_at_settings(); });
+        }
         return {};
     }
 
@@ -76,6 +102,7 @@
     {
         g_unix_signal_add(SIGTERM, on_signal, this);
         g_unix_signal_add(SIGINT, on_signal, this);
+        g_unix_signal_add(SIGHUP, on_hangup, this);
         g_main_loop_run(loop_);
         return code_;
     }
@@ -87,6 +114,36 @@
         return G_SOURCE_CONTINUE;
     }
 
+    static gboolean on_hangup(gpointer data)
+    {
+        static_cast<process*>(data)->reload();
+        return G_SOURCE_CONTINUE;
+    }
+
+    void look_at_settings()
+    {
+        if (const auto now = written_at(env_.config.path); now != settings_written_) {
+            settings_written_ = now;
+            reload();
+        }
+    }
+
+    void reload()
+    {
+        value_or_handle<settings_error>(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(config, load_settings(env_.config.path));
+                for (auto& it : roles_) {
+                    it->reload(config);
+                }
+                return true;
+            },
+            [&](const settings_error& error) {
+                env_.log->error("settings not taken over: {}", describe(error));
+                return false;
+            });
+    }
+
     void shut_down()
     {
         if (draining_) {
@@ -120,6 +177,8 @@
     runtime env_;
     std::optional<net::tls_identity> tls_;
     std::vector<std::unique_ptr<role>> roles_;
+    net::timer settings_timer_;
+    std::filesystem::file_time_type settings_written_;
     std::size_t left_ = 0;
     bool draining_ = false;
     exit_code code_ = exit_code::done;
@@ -157,13 +216,15 @@
 
 exit_code run_role(std::span<char*> args)
 {
-    if (args.size() != 2) {
+    const char* const named = std::getenv("HICKORYPOST_CONFIG");
+    const char* const path = args.size() == 2 ? args[1] : named;
+    if (args.size() > 2 || path == nullptr) {
         std::cerr << "expected one settings file; see hickorypost help " << args[0] << "\n";
         return exit_code::usage;
     }
     return value_or_handle<settings_error>(
         [&]() -> result<exit_code> {
-            BOOST_LEAF_AUTO(config, load_settings(args[1]));
+            BOOST_LEAF_AUTO(config, load_settings(path));
             return run_with(config, args[0]);
         },
         [](const settings_error& error) {
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -42,6 +42,8 @@
     virtual ~role() = default;
     /// Begins a graceful shutdown; `done` is called once nothing is in flight or the limit is over.
     virtual void drain(std::function<void()> done) = 0;
+    /// The settings file has changed; takes over what may change while the process runs.
+    virtual void reload(const settings&) {}
 };
 
 } // namespace hickorypost
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -303,6 +303,42 @@
     return out;
 }
 
+std::vector<std::string> hosts_of(const std::vector<net::peer_address>& addresses)
+{
+    std::vector<std::string> out;
+    for (const auto& it : addresses) {
+        out.push_back(it.host);
+    }
+    return out;
+}
+
+gateway_settings read_gateway(settings_reader& in)
+{
+    constexpr double millis_per_second = 1000;
+    const auto seconds = [&](const char* key) {
+        return millis{static_cast<std::int64_t>(in.number("gateway", key) * millis_per_second)};
+    };
+    gateway_settings out;
+    out.callers = in.address("gateway", "callers");
+    out.ready = in.address("gateway", "ready");
+    out.control = in.address("gateway", "control");
+    out.metrics = in.address("gateway", "metrics");
+    out.internal = in.address("gateway", "internal");
+    out.data = in.text("gateway", "data");
+    out.seeds = hosts_of(in.plain_addresses("gateway", "seeds"));
+    out.first_start = in.text("gateway", "first_start") == "true";
+    out.tolerated_losses = in.integer<std::size_t>("gateway", "tolerated_losses");
+    out.heartbeat = in.duration("gateway", "heartbeat_ms");
+    out.drain = in.duration("gateway", "drain_ms");
+    out.grace = seconds("grace_s");
+    out.config_apply = in.duration("gateway", "config_apply_ms");
+    out.retry_ratio = in.number("gateway", "retry_ratio");
+    out.retry_window = seconds("retry_window_s");
+    out.retry_slack = in.number("gateway", "retry_slack");
+    out.log_requests_per_second = in.number("gateway", "log_requests_per_second");
+    return out;
+}
+
 } // namespace
 
 std::string describe(const settings_error& error)
@@ -353,6 +389,9 @@
     if (in.has("agent")) {
         out.agent = read_agent(in);
     }
+    if (in.has("gateway")) {
+        out.gateway = read_gateway(in);
+    }
     refuse_unknown_keys(file.get(), in);
     if (!faults.empty()) {
         return leaf::new_error(settings_error{path, std::move(faults)});
--- a/src/settings.h
+++ b/src/settings.h
@@ -107,6 +107,28 @@
     millis announce_silence{10'000};
 };
 
+/// A gateway host: callers' requests go straight to backend servers from it, and with a data folder
+/// it may hold a replica of the control log.
+struct gateway_settings {
+    net::peer_address callers;
+    net::peer_address ready;
+    net::peer_address control;      ///< operators and heartbeats of backend servers
+    net::peer_address metrics;      ///< port 0: none
+    net::peer_address internal;     ///< links between gateway hosts; the same port on all
+    std::string data;               ///< empty: this host has no disk
+    std::vector<std::string> seeds; ///< IP addresses of hosts that may be asked for the others
+    bool first_start = false;
+    std::size_t tolerated_losses = 1;
+    millis heartbeat{1200};
+    millis drain{2000};
+    millis grace{8000};
+    millis config_apply{2000};
+    double retry_ratio = 0.1;
+    millis retry_window{10'000};
+    double retry_slack = 0;
+    double log_requests_per_second = 20;
+};
+
 struct settings {
     std::string path;
     node_settings node;
@@ -115,6 +137,7 @@
     std::optional<control_settings> control;
     std::optional<entry_settings> entry;
     std::optional<agent_settings> agent;
+    std::optional<gateway_settings> gateway;
 };
 
 /// Reads and checks a file; fails with `settings_error` that names every fault.
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -285,6 +285,13 @@
          "hickorypost control FILE\n  Runs the [control] section of a settings file.\n"
          "  Example: hickorypost control /etc/hickorypost/control.ini\n",
          run_role},
+    verb{
+        "gateway", "run a gateway host, which calls backend servers directly",
+        "hickorypost gateway [FILE]\n"
+        "  Runs the [gateway] section of a settings file; without FILE, of the one that the\n"
+        "  variable HICKORYPOST_CONFIG names. SIGHUP: take over the changed file. SIGTERM: drain.\n"
+        "  Example: hickorypost gateway /etc/hickorypost/gateway.ini\n",
+        run_role},
     verb{"serve", "run every role that a settings file names, in one process",
          "hickorypost serve FILE\n  Example: hickorypost serve all-in-one.ini\n", run_role},
     verb{"submit", "submit new records",
