[feed, drain] Hosts attach to two connected hosts with a disk; late callers are sent elsewhere

Change: two attachments, those that know the leader first. Ruled out: readiness (refused at once) and leadership (handed over at once).

--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -3,6 +3,7 @@
 #include "hickorypost/wire/codec.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hickorypost {
 
@@ -16,6 +17,9 @@
 /// A host's loads count for this long without a new report.
 constexpr millis load_life{1500};
 constexpr millis expire_period{2000};
+/// Hosts with a disk that another host is attached to. With one, word of a backend server's leaving
+/// would be lost while a new one is sought: it must be known everywhere within two seconds.
+constexpr std::size_t attachments = 2;
 
 void add_to(std::map<std::string, gateway::remote_load>& sum,
             const std::map<std::string, gateway::remote_load>& part)
@@ -54,10 +58,7 @@
     std::vector<node_id> out;
     if (!has_disk_) {
         // What came from elsewhere came by way of the core, which has told everyone.
-        if (from == mesh_.self() && !attached_to_.empty()) {
-            out.push_back(attached_to_);
-        }
-        return out;
+        return from == mesh_.self() ? attached_to_ : out;
     }
     const bool from_core = from != mesh_.self() && mesh_.is_core(from);
     for (const auto& host : mesh_.linked()) {
@@ -135,29 +136,51 @@
     mesh_.send(to, out);
 }
 
-void backend_feed::choose_attachment()
+std::vector<node_id> backend_feed::best_attachments() const
 {
-    if (has_disk_ || (!attached_to_.empty() && mesh_.link_to(attached_to_) != nullptr)) {
+    // A host that is cut off from the others knows nothing new, though the link to it is up. Among
+    // the rest the own failure domain first, as bytes between domains are dear; then by hash, so that
+    // a lost host's share goes to all others.
+    using rank = std::tuple<bool, bool, std::uint64_t>;
+    std::vector<std::pair<rank, node_id>> found;
+    for (const auto& [host, domain] : mesh_.core()) {
+        if (mesh_.link_to(host) != nullptr) {
+            found.push_back({{hooks_.reaches_leader(host),
+                              domain == env_.config.node.failure_domain,
+                              hash_bytes(host, hash_bytes(mesh_.self()))},
+                             host});
+        }
+    }
+    std::sort(found.rbegin(), found.rend());
+    std::vector<node_id> out;
+    for (const auto& [order, host] : found) {
+        if (out.size() < attachments) {
+            out.push_back(host);
+        }
+    }
+    return out;
+}
+
+void backend_feed::choose_attachments()
+{
+    if (has_disk_) {
         return;
     }
-    attached_to_.clear();
-    // One in the own failure domain if there is one: bytes between domains are dear. Else spread by
-    // hash, so that a lost host's share goes to all others.
-    std::uint64_t best = 0;
-    for (const auto& [host, domain] : mesh_.core()) {
-        const bool near = domain == env_.config.node.failure_domain;
-        const std::uint64_t rank =
-            (hash_bytes(host, hash_bytes(mesh_.self())) >> 1U) | (near ? 1ULL << 63U : 0);
-        if (mesh_.link_to(host) != nullptr && (attached_to_.empty() || rank > best)) {
-            best = rank;
-            attached_to_ = host;
+    const auto best = best_attachments();
+    for (const auto& host : attached_to_) {
+        if (std::find(best.begin(), best.end(), host) == best.end()) {
+            env_.log->info("no longer attached to host {}", host);
+            mesh_.send(host, wire::attach{false});
         }
     }
-    if (!attached_to_.empty()) {
-        env_.log->info("attached to host {}", attached_to_);
-        mesh_.send(attached_to_, wire::attach{true});
-        send_all(attached_to_);
+    for (const auto& host : best) {
+        if (std::find(attached_to_.begin(), attached_to_.end(), host) == attached_to_.end()) {
+            env_.log->info("attached to host {}", host);
+            mesh_.send(host, wire::attach{true});
+            send_all(host);
+        }
     }
+    attached_to_ = best;
 }
 
 void backend_feed::on_link_up(const node_id& host)
@@ -165,27 +188,27 @@
     if (has_disk_ && mesh_.is_core(host)) {
         send_all(host);
     }
-    choose_attachment();
+    choose_attachments();
 }
 
 void backend_feed::on_link_down(const node_id& host)
 {
     attached_.erase(host);
     loads_.erase(host);
-    if (attached_to_ == host) {
-        env_.log->warn("no longer attached to host {}", host);
-        attached_to_.clear();
-        choose_attachment();
-    }
+    std::erase(attached_to_, host);
+    choose_attachments();
 }
 
 bool backend_feed::on_message(const node_id& from, wire::message_type type, std::string_view body)
 {
     switch (type) {
     case wire::message_type::attach:
-        if (const auto it = wire::try_decode<wire::attach>(body); it && it->on) {
-            attached_.insert(from);
-            send_all(from);
+        if (const auto it = wire::try_decode<wire::attach>(body)) {
+            attached_.erase(from);
+            if (it->on) {
+                attached_.insert(from);
+                send_all(from);
+            }
         }
         return true;
     case wire::message_type::backend_update:
@@ -205,7 +228,7 @@
 
 void backend_feed::tick()
 {
-    choose_attachment();
+    choose_attachments();
     if (++turn_ % turns_per_touch == 0 && !touches_.empty()) {
         wire::backend_update update;
         for (const auto& [id, sequence] : touches_) {
@@ -242,7 +265,8 @@
     if (!has_disk_) {
         auto own = balancer_.own_loads();
         if (!attached_to_.empty() && !(own.empty() && sent_loads_.empty())) {
-            mesh_.send(attached_to_, encode_loads(own));
+            // To the first only: the hosts with a disk add up what they get.
+            mesh_.send(attached_to_.front(), encode_loads(own));
         }
         sent_loads_ = std::move(own);
         return;
@@ -273,6 +297,9 @@
         balancer_.take_remote(from, std::move(loads), now);
         return;
     }
+    if (attached_to_.empty() || from != attached_to_.front()) {
+        return;
+    }
     // The total holds what this host reported last.
     for (const auto& [id, own] : sent_loads_) {
         if (const auto it = loads.find(id); it != loads.end()) {
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -14,6 +14,8 @@
 
 struct feed_hooks {
     std::function<void(const std::string& backend)> gone;
+    /// Whether a host with a disk is in contact with the control log's leader, as far as is known.
+    std::function<bool(const node_id& host)> reaches_leader;
 };
 
 /// Spreads what one host learns of backend servers to all others, and sums up who has how much work
@@ -45,7 +47,8 @@
     void spread(const wire::backend_update& update, const node_id& from);
     void send_all(const node_id& to);
     void take_update(const node_id& from, const wire::backend_update& update);
-    void choose_attachment();
+    void choose_attachments();
+    [[nodiscard]] std::vector<node_id> best_attachments() const;
     void tick();
     void send_loads();
     void take_loads(const node_id& from, const wire::load_report& report);
@@ -59,7 +62,7 @@
     feed_hooks hooks_;
     std::map<std::string, std::uint64_t> touches_; ///< that wait to be spread, by incarnation
     std::set<node_id> attached_;                   ///< hosts that get updates from this one
-    node_id attached_to_;                          ///< where this host gets them from
+    std::vector<node_id> attached_to_; ///< where this host gets them from, best first
     std::map<node_id, load_entry> loads_;
     load_map sent_loads_;
     instant expire_due_;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -48,12 +48,14 @@
     void begin_drain() { draining_ = true; }
     /// `may_handle` says true now: requests that wait are handled.
     void release_held();
+    /// New connections are refused from now on, so that callers go elsewhere at once.
+    void stop_accepting() { listener_.reset(); }
+    [[nodiscard]] bool accepts() const noexcept { return listener_ != nullptr; }
     /// Closes connections on which no request has begun.
     void close_idle();
     /// Requests that have been read and not been answered.
     [[nodiscard]] std::size_t in_flight() const;
     [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
-    [[nodiscard]] std::uint16_t port() const noexcept { return listener_->port(); }
 
 private:
     friend class caller_connection;
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -175,6 +175,12 @@
     return now_() < began_ + ask_limit;
 }
 
+bool control_plane::reaches_leader(const node_id& host) const
+{
+    const auto it = notes_.find(host);
+    return it != notes_.end() && !it->second.leader.empty();
+}
+
 std::size_t control_plane::hosts() const noexcept
 {
     return std::max(hosts_told_, mesh_.linked().size() + 1);
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -56,6 +56,8 @@
     /// In contact with the core: what is told to this host reaches the others.
     [[nodiscard]] bool connected() const;
     [[nodiscard]] std::size_t hosts() const noexcept;
+    /// Whether a host with a disk said lately that it knows the leader.
+    [[nodiscard]] bool reaches_leader(const node_id& host) const;
     [[nodiscard]] const replog::group* group() const noexcept { return group_.get(); }
     [[nodiscard]] const node_id& leader() const noexcept { return leader_; }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -106,6 +106,9 @@
         pool_.forget(backend);
         balancer_.forget(backend);
     };
+    for_feed.reaches_leader = [this](const node_id& host) {
+        return control_->reaches_leader(host);
+    };
     feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, balancer_, has_disk,
                                            std::move(for_feed));
     calls_ = std::make_unique<control_calls>(env_, *control_, *feed_);
@@ -202,6 +205,10 @@
 {
     auto decoded = platform::decode_request(std::move(request.head), std::move(request.body));
     decoded.arrived = request.arrived;
+    if (draining_ && !callers_server_->accepts()) {
+        // It could be cut off by this process's end. On another host it can run whole.
+        return reject(request, decoded, status_unavailable, "shutting down");
+    }
     if (!can_serve()) {
         return reject(request, decoded, status_unavailable, "no configuration yet");
     }
@@ -290,6 +297,10 @@
     if (since >= drain_close_idle) {
         callers_server_->close_idle();
     }
+    if (since >= drain_least && callers_server_->accepts()) {
+        callers_server_->stop_accepting();
+        env_.log->info("no new callers; {} requests in flight", callers_server_->in_flight());
+    }
     const bool finished = since >= drain_least && callers_server_->connections() == 0;
     if (finished || since >= config_.grace - drain_margin) {
         env_.log->info("drained: {} requests cut off", callers_server_->in_flight());
