--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -139,16 +139,16 @@
 std::vector<node_id> backend_feed::best_attachments() const
 {
     // A host that is cut off from the others knows nothing new, though the link to it is up. Among
-    // the rest the own failure domain first, as bytes between domains are dear; then by hash, so that
-    // a lost host's share goes to all others.
+    // the rest the own failure domain first, as bytes between domains are dear; then by hash, so
+    // that a lost host's share goes to all others.
     using rank = std::tuple<bool, bool, std::uint64_t>;
     std::vector<std::pair<rank, node_id>> found;
     for (const auto& [host, domain] : mesh_.core()) {
         if (mesh_.link_to(host) != nullptr) {
-            found.push_back({{hooks_.reaches_leader(host),
-                              domain == env_.config.node.failure_domain,
-                              hash_bytes(host, hash_bytes(mesh_.self()))},
-                             host});
+            found.push_back(
+                {{hooks_.reaches_leader(host), domain == env_.config.node.failure_domain,
+                  hash_bytes(host, hash_bytes(mesh_.self()))},
+                 host});
         }
     }
     std::sort(found.rbegin(), found.rend());
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -62,7 +62,7 @@
     feed_hooks hooks_;
     std::map<std::string, std::uint64_t> touches_; ///< that wait to be spread, by incarnation
     std::set<node_id> attached_;                   ///< hosts that get updates from this one
-    std::vector<node_id> attached_to_; ///< where this host gets them from, best first
+    std::vector<node_id> attached_to_;             ///< where this host gets them from, best first
     std::map<node_id, load_entry> loads_;
     load_map sent_loads_;
     instant expire_due_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -17,8 +17,8 @@
 constexpr unsigned status_unavailable = 503;
 /// When a caller may come back to a host that has no configuration yet.
 constexpr millis no_config_retry{300};
-/// A process that has just started learns the newest state within a second. Requests that come before
-/// wait for it: most callers come back only once after a refusal.
+/// A process that has just started learns the newest state within a second. Requests that come
+/// before wait for it: most callers come back only once after a refusal.
 constexpr millis start_hold{1200};
 constexpr millis tick_period{250};
 constexpr std::uint64_t ticks_per_second = 4;
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -22,6 +22,13 @@
     }
 }
 
+peer_mesh::~peer_mesh()
+{
+    // Links that close here must not call those who are gone already.
+    hooks_ = {[](const node_id&) {}, [](const node_id&) {},
+              [](const node_id&, wire::message_type, std::string_view) {}};
+}
+
 result<std::unique_ptr<peer_mesh>> peer_mesh::open(runtime& env, const net::peer_address& self,
                                                    bool has_disk, mesh_hooks hooks)
 {
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -29,6 +29,10 @@
     static result<std::unique_ptr<peer_mesh>> open(runtime& env, const net::peer_address& self,
                                                    bool has_disk, mesh_hooks hooks);
 
+    ~peer_mesh();
+    peer_mesh(const peer_mesh&) = delete;
+    peer_mesh& operator=(const peer_mesh&) = delete;
+
     /// Dials hosts about which only the address is known.
     void dial_seeds(const std::vector<node_id>& seeds);
     /// Learns of a host with a disk; true if it is new.
