[balancer, replog] Prompts that share parts meet more often; leaders sooner after power returns

Cause: shared prompt parts were read again although engines still kept them: affinity counted only the time saved, and forgot after 6 s what engines keep for 15 s and more. And the first election after a start waited 0.5 s.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -52,7 +52,10 @@
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
     /// Time that engines surely keep a prompt part after its last use.
-    millis prefix_memory{6000};
+    millis prefix_memory{15'000};
+    /// What a prompt token that need not be read again is worth, in multiples of the time to read it:
+    /// that time is also everybody else's on that engine, and reading is paid for.
+    double prefix_weight = 5;
     /// After being unreachable, the time until the next try; doubles up to the longest.
     millis first_probation{400};
     millis longest_probation{5000};
--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -9,8 +9,17 @@
 namespace hickorypost::gateway {
 
 struct model_choice_settings {
-    /// An answer of which its model is less sure than this is asked for again of a larger one.
-    double least_confidence = 0.5;
+    /// An answer of which its model is less sure than this is asked for again of a larger one, while
+    /// engines answer quickly.
+    double calm_confidence = 0.5;
+    /// The same when they are slow. A larger model takes several times an engine's time: asked for as
+    /// often as in calm times it makes everybody late.
+    double pressed_confidence = 0.3;
+    /// First events within this part of their target count as quick, beyond the other as slow.
+    double calm_part = 0.15;
+    double pressed_part = 0.4;
+    /// Weight of the newest first event in the running mean.
+    double weight = 0.05;
     /// A larger model is asked only if this many times the route's target is left.
     double least_targets_left = 1.0;
 };
@@ -26,11 +35,16 @@
     /// rank if the answer will do or no larger model can help in the time that is left.
     [[nodiscard]] std::size_t after(const route_spec& route, std::size_t rank, double confidence,
                                     millis left) const;
+    /// A first event came `part` of the route's target after the request.
+    void saw_first(double part);
+    /// The confidence that an answer needs now.
+    [[nodiscard]] double least_confidence() const;
     /// How much slower a model is than the middle one, from what the operators say it costs.
     [[nodiscard]] static double pace(const engine_spec& engine, const std::string& model);
 
 private:
     model_choice_settings settings_;
+    double first_part_ = 0; ///< running mean of `saw_first`
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -397,6 +397,11 @@
     if (stage_ != stage::relaying) {
         stage_ = stage::relaying;
         record_.to_first = services_.now() - began_;
+        if (const auto target = std::chrono::duration_cast<micros>(route_.target_latency);
+            target.count() > 0) {
+            services_.models.saw_first(static_cast<double>(record_.to_first.count()) /
+                                       static_cast<double>(target.count()));
+        }
         head_.fields.remove_hop_by_hop();
         head_.fields.remove("Content-Length");
         caller_.begin(head_);
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -13,7 +13,7 @@
 constexpr millis remote_report_life{2000};
 /// How sure it is that an engine keeps a part whose home it is by hashing, though this process has
 /// not sent it there: others have, unless the part is used less often than engines forget.
-constexpr double home_trust = 0.7;
+constexpr double home_trust = 0.9;
 /// Weight of the newest service time in the running mean.
 constexpr double service_time_weight = 0.1;
 constexpr double micros_per_milli = 1000;
@@ -145,8 +145,8 @@
             continue;
         }
         double cost = cost_ms(*it, job, failures, now);
-        cost -= cached_tokens(*it, job, it->record.id == home, now) * job.pace /
-                settings_.prompt_tokens_per_ms;
+        cost -= settings_.prefix_weight * job.pace / settings_.prompt_tokens_per_ms *
+                cached_tokens(*it, job, it->record.id == home, now);
         // Up to a millisecond of chance: processes that know the same do not all choose the same.
         cost += unit_random(random_);
         if (cost < lowest) {
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -24,12 +24,25 @@
     const std::size_t largest = route.models.empty() ? 0 : route.models.size() - 1;
     const auto wanted = static_cast<double>(route.target_latency.count());
     const bool time = static_cast<double>(left.count()) >= wanted * settings_.least_targets_left;
-    if (confidence >= settings_.least_confidence || rank >= largest || !time) {
+    if (confidence >= least_confidence() || rank >= largest || !time) {
         return rank;
     }
     return largest;
 }
 
+void model_choice::saw_first(double part)
+{
+    first_part_ += settings_.weight * (part - first_part_);
+}
+
+double model_choice::least_confidence() const
+{
+    const double span = settings_.pressed_part - settings_.calm_part;
+    const double pressure = std::clamp((first_part_ - settings_.calm_part) / span, 0.0, 1.0);
+    return settings_.calm_confidence +
+           pressure * (settings_.pressed_confidence - settings_.calm_confidence);
+}
+
 double model_choice::pace(const engine_spec& engine, const std::string& model)
 {
     const auto it = std::find_if(engine.models.begin(), engine.models.end(),
--- a/modules/replog/src/replica.cpp
+++ b/modules/replog/src/replica.cpp
@@ -8,6 +8,14 @@
 
 namespace hickorypost::replog {
 
+namespace {
+
+/// Spread of the first elections after a start: several round trips between hosts, so that two
+/// candidates seldom split the votes.
+constexpr millis early_vote_spread{200};
+
+} // namespace
+
 replica::replica(recovered_state recovered, std::vector<node_id> founders, replica_options options,
                  random_fn random, instant now)
     : self_{std::move(recovered.self)}, founders_{std::move(founders)}, options_{options},
@@ -32,7 +40,9 @@
     if (options_.vote_at_start) {
         last_heard_leader_ = now - options_.election_min;
         // Pre-vote keeps this from disturbing a leader that the others hear.
-        election_due_ -= options_.election_min - 2 * options_.heartbeat;
+        const double part = unit_random(random_);
+        const auto spread = static_cast<double>(early_vote_spread.count());
+        election_due_ = now + options_.heartbeat + millis{static_cast<std::int64_t>(spread * part)};
     }
 }
 
