[balancer, exchange] Reading time with the square of the prompt; loads spread ten times a second

Cause: several prompts of 30,000 to 50,000 tokens met on one engine and held up every stream there (gaps of 1,000 to 1,069 ms on one backend server in the same second): the cost counted tokens only, and other hosts heard of the work up to half a second late. Log lines tell the longest gap.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -32,7 +32,7 @@
     /// Silence, in multiples of the route's targets, after which a resumable stream goes elsewhere.
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
-    double plain_silence_factor = 3.0;
+    double plain_silence_factor = 1.5;
     /// When a request that was refused for lack of room may come back, spread over a span so that
     /// those who return do not all return at once.
     millis least_retry_after{150};
@@ -70,6 +70,7 @@
     std::uint64_t config_version = 0;
     std::uint64_t events = 0;
     micros to_first{0};
+    micros longest_gap{0}; ///< between two deliveries of a stream's events
     micros total{0};
     double prompt_tokens = 0;
     double output_tokens = 0;
@@ -190,6 +191,7 @@
     std::optional<http1::response_head> failure_head_;
     std::string failure_body_;
     event_splitter events_;
+    instant last_event_;
     bool over_ = false;
 };
 
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -30,7 +30,7 @@
 /// Work that other processes have on a backend server, from their last reports.
 struct remote_load {
     double requests = 0;
-    double prompt_tokens = 0; ///< of requests without a first event
+    double reading_ms = 0; ///< time to read the prompts of requests without a first event
 };
 
 /// How one attempt ended, as the balancer learns from it.
@@ -45,6 +45,10 @@
 struct balancer_settings {
     /// Prompt tokens that an ordinary engine reads in a millisecond. Only proportions matter.
     double prompt_tokens_per_ms = 100;
+    /// Attention grows with the square of a prompt: milliseconds for (1,000 tokens) squared, on an
+    /// ordinary engine. A prompt of 50,000 tokens takes nearly as long again for it, and delays each
+    /// stream that runs beside it.
+    double square_ms = 0.15;
     /// What one more running stream costs a new request, in milliseconds.
     double stream_ms = 1.0;
     /// Mean service time of a plain service's request before any was measured.
@@ -77,7 +81,7 @@
 
     struct ticket {
         std::string backend;
-        double prompt_tokens = 0;
+        double reading_ms = 0;
         bool streaming = false;
         bool first_seen = false;
         instant started;
@@ -103,7 +107,7 @@
 private:
     struct backend_load {
         double requests = 0;
-        double prompt_tokens = 0;
+        double reading_ms = 0;
         double failure_ratio = 0;
         double service_ms = 0; ///< running mean; 0: none yet
         std::uint32_t misses = 0;
@@ -117,6 +121,8 @@
     };
 
     [[nodiscard]] remote_load others_on(const std::string& backend, instant now) const;
+    /// Time to read a prompt of which `cached` tokens are kept.
+    [[nodiscard]] double reading_ms(const job_size& job, double cached) const;
     double cost_ms(const backend_entry& it, const job_size& job, double mean_failures, instant now);
     double cached_tokens(const backend_entry& it, const job_size& job, bool home, instant now);
     double mean_failure_ratio(std::span<const backend_entry* const> candidates);
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -406,7 +406,12 @@
         head_.fields.remove("Content-Length");
         caller_.begin(head_);
     }
-    services_.balancer.first_answer(*ticket_, services_.now());
+    const instant now = services_.now();
+    if (last_event_ != instant{}) {
+        record_.longest_gap = std::max(record_.longest_gap, now - last_event_);
+    }
+    last_event_ = now;
+    services_.balancer.first_answer(*ticket_, now);
     caller_.piece(whole);
     if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
         current_->set_reading(false);
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -52,7 +52,7 @@
         }
         if (const auto it = report.loads.find(backend); it != report.loads.end()) {
             out.requests += it->second.requests;
-            out.prompt_tokens += it->second.prompt_tokens;
+            out.reading_ms += it->second.reading_ms;
         }
     }
     return out;
@@ -94,6 +94,15 @@
     return out;
 }
 
+double load_balancer::reading_ms(const job_size& job, double cached) const
+{
+    constexpr double thousand = 1000;
+    const double fresh = std::max(0.0, job.prompt_tokens - cached) / thousand;
+    const double all = job.prompt_tokens / thousand;
+    return job.pace * (fresh * thousand / settings_.prompt_tokens_per_ms +
+                       settings_.square_ms * fresh * all);
+}
+
 double load_balancer::cost_ms(const backend_entry& it, const job_size& job, double mean_failures,
                               instant now)
 {
@@ -103,9 +112,7 @@
     const double slots = std::max<std::uint32_t>(1, it.record.slots);
     double out = it.record.failure_domain == own_domain_ ? 0 : settings_.other_domain_ms;
     if (job.prompt_tokens > 0) {
-        const double rate = settings_.prompt_tokens_per_ms / job.pace;
-        out += (load.prompt_tokens + others.prompt_tokens) / settings_.prompt_tokens_per_ms;
-        out += job.prompt_tokens / rate;
+        out += load.reading_ms + others.reading_ms + reading_ms(job, 0);
         out += running * settings_.stream_ms;
         if (running >= slots) {
             out += (running - slots + 1) * settings_.stream_ms * slots;
@@ -171,12 +178,12 @@
                       [&](const auto& it) { return now > it.second + settings_.prefix_memory; });
     }
     load.requests += 1;
-    const double prompt = std::max(0.0, job.prompt_tokens - cached) * job.pace;
-    load.prompt_tokens += prompt;
+    const double reading = reading_ms(job, cached);
+    load.reading_ms += reading;
     if (load.probation_until > now) {
         load.probation_until = now + settings_.longest_probation; // one try at a time
     }
-    return {on.record.id, prompt, job.prompt_tokens > 0, false, now};
+    return {on.record.id, reading, job.prompt_tokens > 0, false, now};
 }
 
 void load_balancer::first_answer(ticket& it, instant now)
@@ -186,7 +193,7 @@
     }
     it.first_seen = true;
     backend_load& load = loads_[it.backend];
-    load.prompt_tokens = std::max(0.0, load.prompt_tokens - it.prompt_tokens);
+    load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     load.misses = 0;
     load.probation_until = {};
     if (!it.streaming) {
@@ -202,7 +209,7 @@
     backend_load& load = loads_[it.backend];
     load.requests = std::max(0.0, load.requests - 1);
     if (!it.first_seen) {
-        load.prompt_tokens = std::max(0.0, load.prompt_tokens - it.prompt_tokens);
+        load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     }
     const auto learn = [&](double failed) {
         load.failure_ratio += settings_.failure_weight * (failed - load.failure_ratio);
@@ -240,7 +247,7 @@
     std::map<std::string, remote_load> out;
     for (const auto& [id, it] : loads_) {
         if (it.requests > 0) {
-            out[id] = {it.requests, it.prompt_tokens};
+            out[id] = {it.requests, it.reading_ms};
         }
     }
     return out;
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Cost per 1,000 tokens of a model of ordinary pace. Larger models cost more because they take
-/// more of an engine's time, so their cost tells their pace.
-constexpr double ordinary_cost = 0.2;
+/// Pace of an engine's dearest model. Larger models cost more because they take more of an engine's
+/// time, so the proportions of their costs tell their pace.
+constexpr double largest_pace = 3;
 constexpr double least_pace = 0.2;
 
 } // namespace
@@ -45,9 +45,13 @@
 
 double model_choice::pace(const engine_spec& engine, const std::string& model)
 {
-    const auto it = std::find_if(engine.models.begin(), engine.models.end(),
-                                 [&](const auto& known) { return known.name == model; });
-    return it == engine.models.end() ? 1 : std::max(least_pace, it->cost / ordinary_cost);
+    double highest = 0;
+    double own = 0;
+    for (const auto& it : engine.models) {
+        highest = std::max(highest, it.cost);
+        own = it.name == model ? it.cost : own;
+    }
+    return own <= 0 ? 1 : std::max(least_pace, largest_pace * own / highest);
 }
 
 } // namespace hickorypost::gateway
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Loads are spread this often: a tenth of what a model request takes, and four small messages a
-/// second a host.
-constexpr millis turn_period{250};
+/// Loads are spread this often. A long prompt occupies an engine for a tenth of a second to two; others
+/// must hear of it before they send theirs there.
+constexpr millis turn_period{100};
 /// Heartbeats without news are gathered for this many turns.
-constexpr std::uint64_t turns_per_touch = 2;
+constexpr std::uint64_t turns_per_touch = 5;
 /// A host's loads count for this long without a new report.
 constexpr millis load_life{1500};
 constexpr millis expire_period{2000};
@@ -26,7 +26,7 @@
 {
     for (const auto& [id, it] : part) {
         sum[id].requests += it.requests;
-        sum[id].prompt_tokens += it.prompt_tokens;
+        sum[id].reading_ms += it.reading_ms;
     }
 }
 
@@ -34,7 +34,7 @@
 {
     wire::load_report out;
     for (const auto& [id, it] : loads) {
-        out.loads.push_back({id, it.requests, it.prompt_tokens});
+        out.loads.push_back({id, it.requests, it.reading_ms});
     }
     return out;
 }
@@ -289,7 +289,7 @@
 {
     load_map loads;
     for (const auto& it : report.loads) {
-        loads[it.id] = {it.requests, it.prompt_tokens};
+        loads[it.id] = {it.requests, it.reading_ms};
     }
     const instant now = env_.now();
     if (has_disk_) {
@@ -304,7 +304,7 @@
     for (const auto& [id, own] : sent_loads_) {
         if (const auto it = loads.find(id); it != loads.end()) {
             it->second.requests = std::max(0.0, it->second.requests - own.requests);
-            it->second.prompt_tokens = std::max(0.0, it->second.prompt_tokens - own.prompt_tokens);
+            it->second.reading_ms = std::max(0.0, it->second.reading_ms - own.reading_ms);
         }
     }
     balancer_.take_remote("total", std::move(loads), now);
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -84,6 +84,7 @@
         .add("config_version", record.config_version)
         .add("events", record.events)
         .add("first_ms", to_millis(record.to_first))
+        .add("gap_ms", to_millis(record.longest_gap))
         .add("total_ms", to_millis(record.total));
     env_.log->info("{}", line.payload());
 }
