[rollout view, feed] Sessions keep their version on all hosts through the first half of a roll-out

Change: when a trial's share comes, each host says which sessions on the old version the trial would move; the trial begins 0.6 s later. Ruled out: the hash (equal everywhere) and the order of shares (one leader).

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -25,8 +25,9 @@
     std::size_t held_bytes = std::size_t{256} << 10U;
     /// Bytes that a caller has not taken, past which the backend server is not read from.
     std::size_t most_unsent_bytes = std::size_t{256} << 10U;
-    /// A process that has just started knows no backend server until their heartbeats come, which they
-    /// do every second or so. Requests wait for them this long, but at most half of their time.
+    /// A process that has just started knows no backend server until their heartbeats come, which
+    /// they do every second or so. Requests wait for them this long, but at most half of their
+    /// time.
     millis backend_wait{1300};
     millis backend_poll{50};
     /// Silence, in multiples of the route's targets, after which a resumable stream goes elsewhere.
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -46,8 +46,8 @@
     /// Prompt tokens that an ordinary engine reads in a millisecond. Only proportions matter.
     double prompt_tokens_per_ms = 100;
     /// Attention grows with the square of a prompt: milliseconds for (1,000 tokens) squared, on an
-    /// ordinary engine. A prompt of 50,000 tokens takes nearly as long again for it, and delays each
-    /// stream that runs beside it.
+    /// ordinary engine. A prompt of 50,000 tokens takes nearly as long again for it, and delays
+    /// each stream that runs beside it.
     double square_ms = 0.15;
     /// What one more running stream costs a new request, in milliseconds.
     double stream_ms = 1.0;
@@ -57,8 +57,8 @@
     double other_domain_ms = 4;
     /// Time that engines surely keep a prompt part after its last use.
     millis prefix_memory{15'000};
-    /// What a prompt token that need not be read again is worth, in multiples of the time to read it:
-    /// that time is also everybody else's on that engine, and reading is paid for.
+    /// What a prompt token that need not be read again is worth, in multiples of the time to read
+    /// it: that time is also everybody else's on that engine, and reading is paid for.
     double prefix_weight = 5;
     /// After being unreachable, the time until the next try; doubles up to the longest.
     millis first_probation{400};
--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -9,11 +9,11 @@
 namespace hickorypost::gateway {
 
 struct model_choice_settings {
-    /// An answer of which its model is less sure than this is asked for again of a larger one, while
-    /// engines answer quickly.
+    /// An answer of which its model is less sure than this is asked for again of a larger one,
+    /// while engines answer quickly.
     double calm_confidence = 0.5;
-    /// The same when they are slow. A larger model takes several times an engine's time: asked for as
-    /// often as in calm times it makes everybody late.
+    /// The same when they are slow. A larger model takes several times an engine's time: asked for
+    /// as often as in calm times it makes everybody late.
     double pressed_confidence = 0.3;
     /// First events within this part of their target count as quick, beyond the other as slow.
     double calm_part = 0.15;
--- a/modules/gateway/include/hickorypost/gateway/rollout_judge.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_judge.h
@@ -14,6 +14,9 @@
 struct judge_settings {
     /// Share of requests on trial: small enough that a version that turns bad late has met few.
     std::uint32_t trial_permille = 50;
+    /// After the order, the time until the trial. Processes have heard of the order by then, and
+    /// say which sessions they have seen.
+    millis trial_delay{500};
     /// Part of the time that the trial lasts. Sessions that began on the old version may not move
     /// in the first half.
     double trial_part = 0.5;
@@ -62,7 +65,7 @@
 
     void decide(standing& it, instant now);
     comparison compare(standing& it, instant now) const;
-    [[nodiscard]] std::uint32_t share_at(double part) const;
+    [[nodiscard]] std::uint32_t share_at(const rollout_status& status) const;
 
     judge_settings settings_;
     step_fn step_;
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -20,9 +20,18 @@
 /// made of it. Sans I/O.
 class rollout_view {
 public:
-    explicit rollout_view(random_fn random) : random_{std::move(random)} {}
+    /// `session_memory`: how long after a request the next one belongs to the same session.
+    rollout_view(random_fn random, millis session_memory)
+        : random_{std::move(random)}, session_memory_{session_memory}
+    {
+    }
 
-    void follow(const std::map<std::string, rollout_status>& rollouts);
+    void follow(const std::map<std::string, rollout_status>& rollouts, instant now);
+    /// Sessions that this process has seen on an old version and that a trial would move: other
+    /// processes must keep them there too. Nothing if no trial has just begun.
+    std::vector<std::uint64_t> take_pinned(instant now);
+    /// Sessions that another process has seen on an old version.
+    void pin(const std::vector<std::uint64_t>& sessions, instant now);
 
     /// Leaves the candidates of the version that this request goes to. A session that is known
     /// keeps its version through the first half of a roll-out.
@@ -48,21 +57,24 @@
         std::string incumbent; ///< the version that serves where no roll-out says otherwise
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
         std::map<std::string, double> old_ms;         ///< by route: the incumbent's running mean
-        std::uint32_t streak = 0;                     ///< bad answers of the new version lately
-        bool tripped = false; ///< too many: no new work until the leader decides
+        instant trial_from;       ///< the trial's share applies from then on in this process
+        std::uint32_t streak = 0; ///< bad answers of the new version lately
+        bool tripped = false;     ///< too many: no new work until the leader decides
     };
     struct session_mark {
         std::string version;
         instant used;
     };
 
-    [[nodiscard]] bool wants_target(const service_view& it, const std::string& session,
-                                    instant now);
-    void note_session(const std::string& session, const std::string& version, instant now);
+    [[nodiscard]] bool wants_target(const service_view& it, std::uint64_t session, instant now);
+    void note_session(std::uint64_t session, const std::string& version, instant now);
 
     random_fn random_;
+    millis session_memory_;
     std::map<std::string, service_view> services_;
-    std::unordered_map<std::string, session_mark> sessions_;
+    std::unordered_map<std::uint64_t, session_mark> sessions_; ///< by hash of the session's name
+    bool pinned_due_ = false;
+    double trial_share_ = 0;
     instant clean_due_;
 };
 
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -206,7 +206,8 @@
     const auto& settings = services_.settings;
     const instant now = services_.now();
     const auto waited = now - began_;
-    if (sends_ + unsent_ > 0 || waited >= settings.backend_wait || waited * 2 >= deadline_ - began_) {
+    if (sends_ + unsent_ > 0 || waited >= settings.backend_wait ||
+        waited * 2 >= deadline_ - began_) {
         return false;
     }
     silence_timer_ = services_.timers.add(now + settings.backend_poll, [this] {
@@ -256,8 +257,8 @@
     }
     services_.balancer.ended(*ticket_, how, services_.now());
     ticket_.reset();
-    // A connection that breaks tells of a host or the way to it, not of the version that runs there:
-    // counted, a few crashes while a good version is on trial would send it back.
+    // A connection that breaks tells of a host or the way to it, not of the version that runs
+    // there: counted, a few crashes while a good version is on trial would send it back.
     const bool own_failure = how == attempt_result::failed && failure_head_.has_value();
     if (how == attempt_result::answered || own_failure) {
         const bool failed = own_failure;
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -99,8 +99,8 @@
     constexpr double thousand = 1000;
     const double fresh = std::max(0.0, job.prompt_tokens - cached) / thousand;
     const double all = job.prompt_tokens / thousand;
-    return job.pace * (fresh * thousand / settings_.prompt_tokens_per_ms +
-                       settings_.square_ms * fresh * all);
+    return job.pace *
+           (fresh * thousand / settings_.prompt_tokens_per_ms + settings_.square_ms * fresh * all);
 }
 
 double load_balancer::cost_ms(const backend_entry& it, const job_size& job, double mean_failures,
--- a/modules/gateway/src/rollout_judge.cpp
+++ b/modules/gateway/src/rollout_judge.cpp
@@ -10,6 +10,13 @@
 /// knows how far a roll-out is.
 constexpr std::uint64_t time_written_every_ms = 2000;
 
+/// How much of its time a roll-out has had.
+double part_of(const rollout_status& status)
+{
+    return static_cast<double>(status.elapsed_ms) /
+           static_cast<double>(std::max<std::uint64_t>(1, status.duration_ms));
+}
+
 } // namespace
 
 void rollout_judge::follow(const std::map<std::string, rollout_status>& rollouts, instant now)
@@ -45,8 +52,12 @@
     }
 }
 
-std::uint32_t rollout_judge::share_at(double part) const
+std::uint32_t rollout_judge::share_at(const rollout_status& status) const
 {
+    if (status.elapsed_ms < static_cast<std::uint64_t>(settings_.trial_delay.count())) {
+        return 0;
+    }
+    const double part = part_of(status);
     constexpr std::uint32_t whole = 1000;
     if (part >= settings_.whole_part) {
         return whole;
@@ -76,8 +87,7 @@
     rollout_status next = it.status;
     const auto elapsed = std::max<std::int64_t>(0, to_millis(now - it.began));
     next.elapsed_ms = static_cast<std::uint64_t>(elapsed);
-    const double part = static_cast<double>(next.elapsed_ms) /
-                        static_cast<double>(std::max<std::uint64_t>(1, next.duration_ms));
+    const double part = part_of(next);
     const auto [candidate, incumbent] = compare(it, now);
     const auto found = rollout::judge(candidate, incumbent, settings_.test);
     if (found.verdict == rollout::test_verdict::bad) {
@@ -92,7 +102,7 @@
                       std::to_string(candidate.bad) + " bad";
     } else if (found.towards_bad <= 0) {
         // Evidence that leans towards bad holds the share where it is until it is clear.
-        next.share_permille = std::max(next.share_permille, share_at(part));
+        next.share_permille = std::max(next.share_permille, share_at(next));
     }
     const bool changed = next.phase != it.status.phase ||
                          next.share_permille != it.status.share_permille ||
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -3,6 +3,7 @@
 #include "hickorypost/base/ids.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickorypost::gateway {
 
@@ -18,8 +19,10 @@
 /// Bad answers of the new version, less good ones, after which this process stops using it without
 /// waiting for the leader, which may be cut off.
 constexpr std::uint32_t trip_streak = 6;
-/// A session that was not used for this long is forgotten.
-constexpr millis session_memory{15'000};
+/// After a trial's share has come, this long passes before the first request goes to the new
+/// version: other processes say meanwhile which sessions they have seen on the old one.
+constexpr millis pin_time{600};
+constexpr std::uint64_t buckets = 10'000;
 constexpr std::size_t sessions_before_cleaning = 5000;
 constexpr double permille = 1000;
 
@@ -30,49 +33,86 @@
                   [&](const auto* it) { return (it->record.version == version) != equal; });
 }
 
+/// Where a session lies between 0 and 1. By hash, so that all processes choose the same for it, and
+/// a growing share only adds to the sessions that have moved.
+double place_of(std::uint64_t session)
+{
+    return static_cast<double>(session % buckets) / static_cast<double>(buckets);
+}
+
 } // namespace
 
-void rollout_view::follow(const std::map<std::string, rollout_status>& rollouts)
+void rollout_view::follow(const std::map<std::string, rollout_status>& rollouts, instant now)
 {
     for (const auto& [service, status] : rollouts) {
         auto& it = services_[service];
         if (!it.known || it.status.target != status.target) {
             it.tripped = false;
             it.streak = 0;
+            it.status.share_permille = 0;
+        }
+        const bool begins = status.phase == rollout_phase::running && status.share_permille > 0 &&
+                            it.status.share_permille == 0;
+        if (begins) {
+            it.trial_from = now + pin_time;
+            pinned_due_ = true;
+            trial_share_ = static_cast<double>(status.share_permille) / permille;
         }
         it.status = status;
         it.known = true;
     }
 }
 
-bool rollout_view::wants_target(const service_view& it, const std::string& session, instant now)
+std::vector<std::uint64_t> rollout_view::take_pinned(instant now)
+{
+    std::vector<std::uint64_t> out;
+    if (!std::exchange(pinned_due_, false)) {
+        return out;
+    }
+    for (const auto& [session, mark] : sessions_) {
+        if (place_of(session) < trial_share_ && now < mark.used + session_memory_) {
+            out.push_back(session);
+        }
+    }
+    return out;
+}
+
+void rollout_view::pin(const std::vector<std::uint64_t>& sessions, instant now)
+{
+    for (const auto session : sessions) {
+        // The version's name is not told: any that is not the new one keeps the session on the old.
+        sessions_.try_emplace(session, session_mark{"", now});
+    }
+}
+
+bool rollout_view::wants_target(const service_view& it, std::uint64_t session, instant now)
 {
     const auto share = static_cast<double>(it.status.share_permille) / permille;
-    if (session.empty()) {
+    if (now < it.trial_from) {
+        return false;
+    }
+    if (session == 0) {
         return unit_random(random_) < share;
     }
     const auto mark = sessions_.find(session);
-    const bool known = mark != sessions_.end() && now < mark->second.used + session_memory;
+    const bool known = mark != sessions_.end() && now < mark->second.used + session_memory_;
     const bool first_half = it.status.elapsed_ms * 2 < it.status.duration_ms;
     if (known && (first_half || mark->second.version == it.status.target)) {
         return mark->second.version == it.status.target;
     }
-    // By hash, so that all processes choose the same for a session, and a growing share only adds
-    // to the sessions that have moved.
-    constexpr std::uint64_t buckets = 10'000;
-    return static_cast<double>(hash_bytes(session) % buckets) < share * buckets;
+    return place_of(session) < share;
 }
 
-void rollout_view::note_session(const std::string& session, const std::string& version, instant now)
+void rollout_view::note_session(std::uint64_t session, const std::string& version, instant now)
 {
-    if (session.empty()) {
+    if (session == 0) {
         return;
     }
     sessions_[session] = {version, now};
     if (sessions_.size() > sessions_before_cleaning && now > clean_due_) {
-        clean_due_ = now + session_memory / 2;
+        clean_due_ = now + session_memory_ / 2;
         std::erase_if(sessions_,
-                      [&](const auto& mark) { return now > mark.second.used + session_memory; });
+                      [&](const auto& mark) { return now > mark.second.used + session_memory_; });
     }
 }
 
@@ -90,7 +130,8 @@
         // The first version seen. A new one registers before its order has reached every process.
         it.incumbent = candidates.front()->record.version;
     }
-    const bool target = running && !it.tripped && wants_target(it, session, now);
+    const std::uint64_t key = session.empty() ? 0 : hash_bytes(session);
+    const bool target = running && !it.tripped && wants_target(it, key, now);
     auto chosen = candidates;
     if (running) {
         keep_version(chosen, it.status.target, target);
@@ -106,7 +147,7 @@
     }
     candidates = std::move(chosen);
     if (!candidates.empty()) {
-        note_session(session, candidates.front()->record.version, now);
+        note_session(key, candidates.front()->record.version, now);
     }
 }
 
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -47,6 +47,7 @@
     order_reply = 66,
     load_report = 67,
     version_report = 68,
+    session_pins = 69,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -414,6 +415,12 @@
     std::uint64_t bad = 0;
 };
 
+/// Sessions, by hash, that a host has seen on an old version and that a trial must not move.
+struct session_pins {
+    static constexpr auto type = message_type::session_pins;
+    std::vector<std::uint64_t> sessions;
+};
+
 /// What a host saw of versions in a roll-out since its last report; to the leader.
 struct version_report {
     static constexpr auto type = message_type::version_report;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Loads are spread this often. A long prompt occupies an engine for a tenth of a second to two; others
-/// must hear of it before they send theirs there.
+/// Loads are spread this often. A long prompt occupies an engine for a tenth of a second to two;
+/// others must hear of it before they send theirs there.
 constexpr millis turn_period{100};
 /// Heartbeats without news are gathered for this many turns.
 constexpr std::uint64_t turns_per_touch = 5;
@@ -70,24 +70,24 @@
     return out;
 }
 
-void backend_feed::spread(const wire::backend_update& update, const node_id& from)
-{
-    for (const auto& host : targets(from)) {
-        mesh_.send(host, update);
-    }
-}
-
 void backend_feed::take_heartbeat(const gateway::backend_record& record)
 {
     const auto change = directory_.take(record, env_.now());
     if (change == gateway::backend_directory::change::changed) {
         apply(record);
-        spread({{wire::encode(record)}, {}}, mesh_.self());
+        spread(wire::backend_update{{wire::encode(record)}, {}}, mesh_.self());
     } else if (change == gateway::backend_directory::change::touched) {
         touches_[record.id] = record.sequence;
     }
 }
 
+void backend_feed::spread_pins(std::vector<std::uint64_t> sessions)
+{
+    if (!sessions.empty()) {
+        spread(wire::session_pins{std::move(sessions)}, mesh_.self());
+    }
+}
+
 void backend_feed::apply(const gateway::backend_record& record)
 {
     const char* const state = record.state == gateway::backend_state::ready      ? "ready"
@@ -216,6 +216,12 @@
             take_update(from, *it);
         }
         return true;
+    case wire::message_type::session_pins:
+        if (const auto it = wire::try_decode<wire::session_pins>(body)) {
+            hooks_.pins(it->sessions);
+            spread(*it, from);
+        }
+        return true;
     case wire::message_type::load_report:
         if (const auto it = wire::try_decode<wire::load_report>(body)) {
             take_loads(from, *it);
@@ -237,9 +243,7 @@
         touches_.clear();
         // Touches of the core's own and of attached hosts are mixed here; a host that sent one gets
         // it back, which changes nothing.
-        for (const auto& host : targets(mesh_.self())) {
-            mesh_.send(host, update);
-        }
+        spread(update, mesh_.self());
     }
     send_loads();
     if (const instant now = env_.now(); now >= expire_due_) {
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -16,6 +16,7 @@
     std::function<void(const std::string& backend)> gone;
     /// Whether a host with a disk is in contact with the control log's leader, as far as is known.
     std::function<bool(const node_id& host)> reaches_leader;
+    std::function<void(const std::vector<std::uint64_t>& sessions)> pins;
 };
 
 /// Spreads what one host learns of backend servers to all others, and sums up who has how much work
@@ -29,6 +30,8 @@
     void start();
     /// A heartbeat, or word of leaving, that a backend server brought to this host.
     void take_heartbeat(const gateway::backend_record& record);
+    /// Tells all hosts of sessions that stay on their old version.
+    void spread_pins(std::vector<std::uint64_t> sessions);
     void on_link_up(const node_id& host);
     void on_link_down(const node_id& host);
     /// False: not a message of this kind.
@@ -44,7 +47,13 @@
     void apply(const gateway::backend_record& record);
     /// Hosts that a message must go to next: `from` has it already.
     [[nodiscard]] std::vector<node_id> targets(const node_id& from) const;
-    void spread(const wire::backend_update& update, const node_id& from);
+    template <class M>
+    void spread(const M& message, const node_id& from)
+    {
+        for (const auto& host : targets(from)) {
+            mesh_.send(host, message);
+        }
+    }
     void send_all(const node_id& to);
     void take_update(const node_id& from, const wire::backend_update& update);
     void choose_attachments();
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -20,6 +20,9 @@
 /// A process that has just started learns the newest state within a second. Requests that come
 /// before wait for it: most callers come back only once after a refusal.
 constexpr millis start_hold{1200};
+/// A session's next request counts from the end of the one before, which this process notes when it
+/// begins. Longer than the timeouts of routes.
+constexpr millis longest_request{25'000};
 constexpr millis tick_period{250};
 constexpr std::uint64_t ticks_per_second = 4;
 constexpr millis drain_poll{100};
@@ -45,8 +48,10 @@
 
 gateway_role::gateway_role(runtime& env)
     : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
-      balancer_{{}, env.config.node.failure_domain, env.random}, rollouts_{env.random}, models_{{}},
-      pool_{poller_, timers_, env.now, {}}, journal_{env, config_.log_requests_per_second},
+      balancer_{{}, env.config.node.failure_domain, env.random}, rollouts_{env.random,
+                                                                           config_.session},
+      models_{{}}, pool_{poller_, timers_, env.now, {}}, journal_{env,
+                                                                  config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
                 rollouts_,
@@ -109,6 +114,9 @@
     for_feed.reaches_leader = [this](const node_id& host) {
         return control_->reaches_leader(host);
     };
+    for_feed.pins = [this](const std::vector<std::uint64_t>& sessions) {
+        rollouts_.pin(sessions, env_.now());
+    };
     feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, balancer_, has_disk,
                                            std::move(for_feed));
     calls_ = std::make_unique<control_calls>(env_, *control_, *feed_);
@@ -229,7 +237,8 @@
 
 void gateway_role::take_state(const gateway::site_state& state)
 {
-    rollouts_.follow(state.rollouts);
+    rollouts_.follow(state.rollouts, env_.now());
+    feed_->spread_pins(rollouts_.take_pinned(env_.now()));
     if (state.config_text.empty() || (table_ && state.config_version <= table_->config().version)) {
         return;
     }
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -335,6 +335,7 @@
     out.retry_ratio = in.number("gateway", "retry_ratio");
     out.retry_window = seconds("retry_window_s");
     out.retry_slack = in.number("gateway", "retry_slack");
+    out.session = seconds("session_s");
     out.log_requests_per_second = in.number("gateway", "log_requests_per_second");
     return out;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -126,6 +126,7 @@
     double retry_ratio = 0.1;
     millis retry_window{10'000};
     double retry_slack = 0;
+    millis session{10'000};
     double log_requests_per_second = 20;
 };
 
