[gateway] Tests of a request's way, directory, balancer, roll-outs; unmeasured backend servers are tried

Cause, found by the new test bad_backend_servers_are_left_early_and_tried_again: a backend server without a measured service time counted as 25 ms, so one that answered in 20 ms got all requests until it was loaded.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -33,7 +33,7 @@
     /// Silence, in multiples of the route's targets, after which a resumable stream goes elsewhere.
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
-    double plain_silence_factor = 1.5;
+    double plain_silence_factor = 3.0;
     /// When a request that was refused for lack of room may come back, spread over a span so that
     /// those who return do not all return at once.
     millis least_retry_after{150};
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -123,9 +123,16 @@
     [[nodiscard]] remote_load others_on(const std::string& backend, instant now) const;
     /// Time to read a prompt of which `cached` tokens are kept.
     [[nodiscard]] double reading_ms(const job_size& job, double cached) const;
-    double cost_ms(const backend_entry& it, const job_size& job, double mean_failures, instant now);
+    /// What all candidates have in common for one choice.
+    struct comparison {
+        double failures = 0;   ///< mean failure ratio
+        double service_ms = 0; ///< of one that was not measured yet
+    };
+    comparison compare(std::span<const backend_entry* const> candidates);
+    double cost_ms(const backend_entry& it, const job_size& job, const comparison& all,
+                   instant now);
     double cached_tokens(const backend_entry& it, const job_size& job, bool home, instant now);
-    double mean_failure_ratio(std::span<const backend_entry* const> candidates);
+
     static std::string_view home_of(std::span<const backend_entry* const> candidates,
                                     const job_size& job);
 
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -103,7 +103,7 @@
            (fresh * thousand / settings_.prompt_tokens_per_ms + settings_.square_ms * fresh * all);
 }
 
-double load_balancer::cost_ms(const backend_entry& it, const job_size& job, double mean_failures,
+double load_balancer::cost_ms(const backend_entry& it, const job_size& job, const comparison& all,
                               instant now)
 {
     const backend_load& load = loads_[it.record.id];
@@ -118,11 +118,11 @@
             out += (running - slots + 1) * settings_.stream_ms * slots;
         }
     } else {
-        const double service = load.service_ms > 0 ? load.service_ms : settings_.service_ms;
+        const double service = load.service_ms > 0 ? load.service_ms : all.service_ms;
         out += service * (1 + running / slots);
     }
     out += failure_cost_ms *
-           std::max(0.0, load.failure_ratio - mean_failures - settings_.failure_margin);
+           std::max(0.0, load.failure_ratio - all.failures - settings_.failure_margin);
     out += static_cast<double>(it.record.cold_ms) > 0 ? settings_.service_ms : 0;
     if (now < load.probation_until || now < load.full_until) {
         out += last_resort_ms;
@@ -130,13 +130,22 @@
     return out;
 }
 
-double load_balancer::mean_failure_ratio(std::span<const backend_entry* const> candidates)
+load_balancer::comparison load_balancer::compare(std::span<const backend_entry* const> candidates)
 {
-    double sum = 0;
+    comparison out;
     for (const auto* it : candidates) {
-        sum += loads_[it->record.id].failure_ratio;
+        const auto& load = loads_[it->record.id];
+        out.failures += load.failure_ratio / static_cast<double>(candidates.size());
+        // One that was never measured counts as the fastest known: it would not be tried otherwise
+        // until the others are loaded, and a new one would stand idle.
+        if (load.service_ms > 0 && (out.service_ms == 0 || load.service_ms < out.service_ms)) {
+            out.service_ms = load.service_ms;
+        }
+    }
+    if (out.service_ms == 0) {
+        out.service_ms = settings_.service_ms;
     }
-    return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+    return out;
 }
 
 const backend_entry* load_balancer::choose(std::span<const backend_entry* const> candidates,
@@ -144,14 +153,14 @@
                                            instant now)
 {
     const std::string_view home = home_of(candidates, job);
-    const double failures = mean_failure_ratio(candidates);
+    const comparison all = compare(candidates);
     const backend_entry* best = nullptr;
     double lowest = std::numeric_limits<double>::max();
     for (const auto* it : candidates) {
         if (std::find(tried.begin(), tried.end(), it->record.id) != tried.end()) {
             continue;
         }
-        double cost = cost_ms(*it, job, failures, now);
+        double cost = cost_ms(*it, job, all, now);
         cost -= settings_.prefix_weight * job.pace / settings_.prompt_tokens_per_ms *
                 cached_tokens(*it, job, it->record.id == home, now);
         // Up to a millisecond of chance: processes that know the same do not all choose the same.
--- /dev/null
+++ b/modules/gateway/tests/fakes.h
@@ -0,0 +1,100 @@
+#pragma once
+/// Fakes at the ports of a request's way: virtual time, backend servers by script, a caller that
+/// remembers what it got.
+
+#include "hickorypost/gateway/exchange.h"
+
+#include <deque>
+
+namespace hickorypost::testing {
+
+/// Virtual time with timers.
+class fake_scheduler final : public gateway::scheduler {
+public:
+    std::uint64_t add(instant due, std::function<void()> hook) override
+    {
+        timers_.emplace(due, std::pair{++last_, std::move(hook)});
+        return last_;
+    }
+    void cancel(std::uint64_t which) override
+    {
+        std::erase_if(timers_, [&](const auto& it) { return it.second.first == which; });
+    }
+    void run_for(millis time)
+    {
+        const instant end = now + time;
+        while (!timers_.empty() && timers_.begin()->first <= end) {
+            const auto node = timers_.extract(timers_.begin());
+            now = std::max(now, node.key());
+            node.mapped().second();
+        }
+        now = end;
+    }
+    instant now{millis{100'000}};
+
+private:
+    std::multimap<instant, std::pair<std::uint64_t, std::function<void()>>> timers_;
+    std::uint64_t last_ = 0;
+};
+
+/// Attempts under way, for the test to answer.
+class fake_backends final : public gateway::attempt_port {
+public:
+    struct open_attempt {
+        gateway::attempt_target target;
+        std::string head;
+        gateway::attempt_events* events = nullptr;
+        bool cancelled = false;
+    };
+
+    std::unique_ptr<gateway::attempt> start(const gateway::attempt_target& target, std::string head,
+                                            std::string_view, bool,
+                                            gateway::attempt_events& events) override
+    {
+        auto it = std::make_shared<open_attempt>();
+        *it = {target, std::move(head), &events, false};
+        attempts.push_back(it);
+        return std::make_unique<handle>(it);
+    }
+
+    open_attempt& last() { return *attempts.back(); }
+    std::vector<std::shared_ptr<open_attempt>> attempts;
+
+private:
+    class handle final : public gateway::attempt {
+    public:
+        explicit handle(std::shared_ptr<open_attempt> it) : it_{std::move(it)} {}
+        ~handle() override { it_->cancelled = true; }
+        handle(const handle&) = delete;
+        handle& operator=(const handle&) = delete;
+        void set_reading(bool) override {}
+
+    private:
+        std::shared_ptr<open_attempt> it_;
+    };
+};
+
+/// What a caller got.
+class fake_caller final : public gateway::caller_port {
+public:
+    void respond(http1::response_head head, std::string text) override
+    {
+        status = head.status;
+        retry_after = head.fields.find("Retry-After").has_value();
+        body = std::move(text);
+        ended = true;
+    }
+    void begin(http1::response_head head) override { status = head.status; }
+    void piece(std::string_view bytes) override { body.append(bytes); }
+    void end() override { ended = true; }
+    void break_off() override { broken = true; }
+    [[nodiscard]] std::size_t unsent() const override { return 0; }
+
+    unsigned status = 0;
+    std::string body;
+    bool retry_after = false;
+    bool ended = false;
+    bool broken = false;
+};
+
+} // namespace hickorypost::testing
--- /dev/null
+++ b/modules/gateway/tests/parts_test.cpp
@@ -0,0 +1,355 @@
+#include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/control_state.h"
+#include "hickorypost/gateway/event_splitter.h"
+#include "hickorypost/gateway/load_balancer.h"
+#include "hickorypost/gateway/retry_window.h"
+#include "hickorypost/gateway/rollout_judge.h"
+#include "hickorypost/gateway/route_table.h"
+#include "hickorypost/replog/types.h"
+#include "hickorypost/wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::gateway;
+
+const instant start{millis{100'000}};
+
+backend_record record(const std::string& id, const std::string& address, std::uint64_t sequence,
+                      const std::string& version = "v1")
+{
+    return {id, "app", address, "d", version, 4, backend_state::ready, 0, sequence};
+}
+
+std::vector<std::string> ids_of(const std::vector<const backend_entry*>& entries)
+{
+    std::vector<std::string> out;
+    for (const auto* it : entries) {
+        out.push_back(it->record.id);
+    }
+    return out;
+}
+
+std::string put(control_state& state, std::uint64_t version, const std::string& text)
+{
+    control_command command{control_kind::put_config, version, text, {}};
+    replog::entry entry;
+    entry.data = wire::encode(command);
+    return state.apply(entry);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_parts)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_is_the_route)
+{
+    site_config config;
+    const auto add = [&](const std::string& host, const std::string& prefix) {
+        route_spec it;
+        it.name = host + prefix;
+        it.host = host;
+        it.path_prefix = prefix;
+        config.routes.push_back(it);
+    };
+    add("a", "/");
+    add("a", "/x/");
+    add("a", "/x/y/");
+    add("b", "/x/");
+    const route_table table{config};
+    BOOST_TEST(table.find_route("a", "/x/y/z?q=/x/")->name == "a/x/y/");
+    BOOST_TEST(table.find_route("A:80", "/x/q")->name == "a/x/");
+    BOOST_TEST(table.find_route("a", "/z")->name == "a/");
+    BOOST_TEST(table.find_route("b", "/y/") == nullptr);
+    BOOST_TEST(table.find_route("c", "/x/") == nullptr);
+}
+
+// A backend server crashes, and another incarnation registers at its address. A heartbeat of the
+// dead one that was held up arrives afterwards: it must not take the address back.
+BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_a_dead_incarnation_takes_nothing_back)
+{
+    backend_directory it{{}};
+    it.take(record("old", "h:1", 4), start);
+    it.take(record("new", "h:1", 1), start + millis{100});
+    it.take(record("old", "h:1", 5), start + millis{200});
+    BOOST_TEST(ids_of(it.usable("app", start + millis{300})) == std::vector<std::string>{"new"});
+}
+
+// The one that was replaced goes on with its heartbeats: it lives, and the other does not.
+BOOST_AUTO_TEST_CASE(an_incarnation_that_goes_on_with_heartbeats_is_the_living_one)
+{
+    backend_directory it{{}};
+    it.take(record("old", "h:1", 4), start);
+    it.take(record("new", "h:1", 1), start + millis{100});
+    it.take(record("old", "h:1", 5), start + millis{200});
+    it.take(record("old", "h:1", 6), start + millis{1300});
+    BOOST_TEST(ids_of(it.usable("app", start + millis{1400})) == std::vector<std::string>{"old"});
+}
+
+BOOST_AUTO_TEST_CASE(one_that_drains_or_has_left_does_not_come_back)
+{
+    backend_directory it{{}};
+    auto draining = record("a", "h:1", 5);
+    draining.state = backend_state::draining;
+    it.take(draining, start);
+    it.take(record("a", "h:1", 6), start);
+    BOOST_TEST(it.usable("app", start).empty());
+    it.take(record("b", "h:2", 1), start);
+    it.remove("b", start);
+    BOOST_TEST((it.take(record("b", "h:2", 2), start) == backend_directory::change::none));
+    BOOST_TEST(it.usable("app", start).empty());
+}
+
+// Heartbeats reach nobody for a while, as when the control hosts are down. All backend servers are
+// silent then, and must still be used.
+BOOST_AUTO_TEST_CASE(silent_ones_are_used_when_there_are_no_others)
+{
+    backend_directory it{{}};
+    it.take(record("a", "h:1", 1), start);
+    it.take(record("b", "h:2", 1), start);
+    const instant later = start + millis{8000};
+    BOOST_TEST(it.usable("app", later).size() == 2U);
+    it.touch("b", 2, later);
+    BOOST_TEST(ids_of(it.usable("app", later)) == std::vector<std::string>{"b"});
+}
+
+// Half the backend servers fail at once, and every request asks to be repeated. The repeats of all
+// processes together stay within the ratio and the slack.
+BOOST_AUTO_TEST_CASE(repeats_stay_within_the_shared_allowance)
+{
+    constexpr std::size_t processes = 4;
+    const retry_window_settings settings{
+        .window = millis{10'000}, .ratio = 0.5, .slack = 40, .used_part = 0.8};
+    std::size_t requests = 0;
+    std::size_t repeats = 0;
+    std::vector<retry_window> windows(processes, retry_window{settings});
+    for (int step = 0; step < 900; ++step) {
+        auto& it = windows[static_cast<std::size_t>(step) % processes];
+        const instant now = start + millis{step * 10};
+        it.request(now);
+        ++requests;
+        repeats += it.try_repeat(processes, now) ? 1U : 0U;
+        repeats += it.try_repeat(processes, now) ? 1U : 0U;
+    }
+    BOOST_TEST(repeats <= settings.ratio * static_cast<double>(requests) + settings.slack);
+    BOOST_TEST(repeats > 0.6 * settings.ratio * static_cast<double>(requests));
+}
+
+BOOST_AUTO_TEST_CASE(only_whole_events_pass_whatever_the_cuts)
+{
+    const std::string text = "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\r\ndata: c\r\n\r\n";
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+        event_splitter it;
+        std::string out = it.push(text.substr(0, cut));
+        out += it.push(text.substr(cut));
+        BOOST_TEST(out == text);
+        BOOST_TEST(!it.has_partial());
+        BOOST_TEST(*it.last_id() == 2U);
+    }
+}
+
+// Equal numbers race, old changes come late: the highest version stays, byte for byte, also through
+// a snapshot, and its revision only rises.
+BOOST_AUTO_TEST_CASE(the_highest_configuration_wins_whatever_the_order)
+{
+    control_state it;
+    put(it, 5, "five");
+    put(it, 5, "another five");
+    put(it, 3, "three");
+    BOOST_TEST(it.state().config_text == "five");
+    const auto revision = it.state().revision;
+    put(it, 9, "nine");
+    BOOST_TEST(it.state().config_text == "nine");
+    BOOST_TEST(it.state().revision > revision);
+    control_state loaded;
+    loaded.load(it.save());
+    BOOST_TEST(loaded.state().config_text == "nine");
+    BOOST_TEST(loaded.state().config_version == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(steps_of_a_rollout_that_is_over_change_nothing)
+{
+    control_state it;
+    const auto apply = [&](control_kind kind, const rollout_status& status) {
+        replog::entry entry;
+        entry.data = wire::encode(control_command{kind, 0, {}, status});
+        it.apply(entry);
+    };
+    rollout_status order{"app", "v2", 10'000, rollout_phase::running, 0, 0, {}};
+    apply(control_kind::begin_rollout, order);
+    auto back = order;
+    back.phase = rollout_phase::rolled_back;
+    apply(control_kind::step_rollout, back);
+    auto late = order;
+    late.share_permille = 500;
+    apply(control_kind::step_rollout, late);
+    apply(control_kind::begin_rollout, order);
+    BOOST_TEST((it.state().rollouts.at("app").phase == rollout_phase::rolled_back));
+}
+
+// All processes see the same late report. Their choices must spread rather than fall on one.
+BOOST_AUTO_TEST_CASE(equal_backend_servers_are_chosen_about_equally)
+{
+    backend_directory directory{{}};
+    for (int n = 0; n < 6; ++n) {
+        directory.take(record("b" + std::to_string(n), "h:" + std::to_string(n), 1), start);
+    }
+    const auto all = directory.usable("app", start);
+    std::map<std::string, int> chosen;
+    for (std::uint64_t process = 0; process < 240; ++process) {
+        load_balancer it{{}, "d", seeded_random_fn(process)};
+        ++chosen[it.choose(all, {}, {}, start)->record.id];
+    }
+    for (const auto* it : all) {
+        BOOST_TEST(chosen[it->record.id] > 15);
+    }
+}
+
+// One backend server refuses connections, another fails half of its requests. Work leaves both
+// after the first signs, and the first is tried again later.
+BOOST_AUTO_TEST_CASE(bad_backend_servers_are_left_early_and_tried_again)
+{
+    backend_directory directory{{}};
+    for (const auto* id : {"dead", "grey", "good"}) {
+        directory.take(record(id, std::string{id} + ":1", 1), start);
+    }
+    const auto all = directory.usable("app", start);
+    load_balancer it{{}, "d", seeded_random_fn(3)};
+    std::map<std::string, int> chosen;
+    instant now = start;
+    for (int n = 0; n < 400; ++n) {
+        now += millis{10};
+        const auto* const to = it.choose(all, {}, {}, now);
+        ++chosen[to->record.id];
+        auto ticket = it.started(*to, {}, now);
+        if (to->record.id == "dead") {
+            it.ended(ticket, attempt_result::unreachable, now);
+            continue;
+        }
+        it.first_answer(ticket, now + millis{20});
+        const bool fails = to->record.id == "grey" && n % 2 == 0;
+        it.ended(ticket, fails ? attempt_result::failed : attempt_result::answered,
+                 now + millis{20});
+    }
+    BOOST_TEST(chosen["dead"] < 10);
+    BOOST_TEST(chosen["dead"] >= 2);
+    BOOST_TEST(chosen["grey"] < 120);
+}
+
+// Prompts that share their beginning arrive at processes that know nothing of each other. They meet
+// on one engine, unless that one is far busier than the rest.
+BOOST_AUTO_TEST_CASE(prompts_with_shared_parts_meet_on_one_engine)
+{
+    backend_directory directory{{}};
+    for (int n = 0; n < 8; ++n) {
+        directory.take(record("b" + std::to_string(n), "h:" + std::to_string(n), 1), start);
+    }
+    const auto all = directory.usable("app", start);
+    job_size job;
+    job.prompt_tokens = 6000;
+    job.model = "m";
+    job.parts = {{77, 5000}, {1, 1000}};
+    std::set<std::string> homes;
+    for (std::uint64_t process = 0; process < 20; ++process) {
+        load_balancer it{{}, "d", seeded_random_fn(process)};
+        job.parts.back().id = process;
+        homes.insert(it.choose(all, job, {}, start)->record.id);
+    }
+    BOOST_TEST(homes.size() == 1U);
+    load_balancer busy{{}, "d", seeded_random_fn(1)};
+    busy.take_remote("p", {{*homes.begin(), {60, 3000}}}, start);
+    BOOST_TEST(busy.choose(all, job, {}, start)->record.id != *homes.begin());
+}
+
+namespace {
+
+/// A roll-out driven in virtual time: each step a few answers of both versions.
+struct rollout_day {
+    rollout_status status{"app", "v2", 20'000, rollout_phase::running, 0, 0, {}};
+    std::uint64_t exposed = 0;
+    rollout_judge judge{{}, [this](const rollout_status& it) { status = it; }};
+
+    void run(const std::function<bool(double part, std::uint64_t n)>& new_is_bad)
+    {
+        std::uint64_t n = 0;
+        for (int step = 0; step < 80 && status.phase == rollout_phase::running; ++step) {
+            const instant now = start + millis{step * 250};
+            judge.follow({{"app", status}}, now);
+            rollout_view::report_row old_row{"app", "v1", 0, 0};
+            rollout_view::report_row new_row{"app", "v2", 0, 0};
+            for (std::uint64_t it = 0; it < 40; ++it, ++n) {
+                const bool to_new = n % 40 < status.share_permille * 40 / 1000;
+                auto& row = to_new ? new_row : old_row;
+                ++row.answers;
+                row.bad += to_new && new_is_bad(step / 80.0, n) ? 1U : 0U;
+                exposed += to_new ? 1U : 0U;
+            }
+            judge.take(old_row, now);
+            judge.take(new_row, now);
+            judge.tick(now);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_good_rollout_is_completed_in_time)
+{
+    rollout_day it;
+    it.run([](double, std::uint64_t) { return false; });
+    BOOST_TEST((it.status.phase == rollout_phase::completed));
+    BOOST_TEST(it.status.elapsed_ms < it.status.duration_ms);
+}
+
+// A version that fails from the start, late, or only under load: each is sent back, with at most 15
+// in 100 of all requests on it.
+BOOST_AUTO_TEST_CASE(bad_versions_are_sent_back_with_bounded_exposure)
+{
+    const auto from_start = [](double, std::uint64_t n) { return n % 2 == 0; };
+    const auto late = [](double part, std::uint64_t n) { return part > 0.3 && n % 2 == 0; };
+    const auto loaded = [](double part, std::uint64_t n) { return part > 0.6 && n % 2 == 0; };
+    for (const auto& bad : {std::function<bool(double, std::uint64_t)>{from_start},
+                            std::function<bool(double, std::uint64_t)>{late},
+                            std::function<bool(double, std::uint64_t)>{loaded}}) {
+        rollout_day it;
+        it.run(bad);
+        BOOST_TEST((it.status.phase == rollout_phase::rolled_back));
+        BOOST_TEST(it.exposed < 80U * 40U * 15U / 100U);
+    }
+}
+
+// Two processes know the same roll-out. A session that one has seen on the old version comes to the
+// other during the trial, and must stay there.
+BOOST_AUTO_TEST_CASE(a_session_keeps_its_version_on_every_process)
+{
+    backend_directory directory{{}};
+    directory.take(record("o", "h:1", 1, "v1"), start);
+    rollout_view one{seeded_random_fn(1), millis{10'000}};
+    rollout_view two{seeded_random_fn(2), millis{10'000}};
+    const auto version_at = [&](rollout_view& view, const std::string& session, instant now) {
+        auto candidates = directory.usable("app", now);
+        view.choose_version("app", session, candidates, now);
+        return candidates.front()->record.version;
+    };
+    for (int n = 0; n < 400; ++n) {
+        version_at(one, "s" + std::to_string(n), start);
+        version_at(two, "t" + std::to_string(n), start);
+    }
+    directory.take(record("n", "h:2", 1, "v2"), start);
+    const rollout_status status{"app", "v2", 20'000, rollout_phase::running, 300, 600, {}};
+    for (auto* view : {&one, &two}) {
+        view->follow({{"app", status}}, start);
+    }
+    two.pin(one.take_pinned(start), start);
+    const instant later = start + millis{2000};
+    std::size_t moved = 0;
+    for (int n = 0; n < 400; ++n) {
+        BOOST_TEST(version_at(two, "s" + std::to_string(n), later) == "v1");
+        moved += version_at(two, "new" + std::to_string(n), later) == "v2" ? 1U : 0U;
+    }
+    BOOST_TEST(moved > 60U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
