--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -26,6 +26,7 @@
 std::vector<std::string> ids_of(const std::vector<const backend_entry*>& entries)
 {
     std::vector<std::string> out;
+    out.reserve(entries.size());
     for (const auto* it : entries) {
         out.push_back(it->record.id);
     }
--- a/modules/net/src/connector.cpp
+++ b/modules/net/src/connector.cpp
@@ -48,8 +48,8 @@
     attempt_.reset(g_cancellable_new());
     // A host without power answers nothing, and the kernel repeats its opening packet only after a
     // second: when the host is back, a new attempt gets through and the old one still waits.
-    limit_timer_ = timer::once(options_.connect_limit,
-                               [it = attempt_.get()] { g_cancellable_cancel(it); });
+    limit_timer_ =
+        timer::once(options_.connect_limit, [it = attempt_.get()] { g_cancellable_cancel(it); });
     g_socket_client_connect_to_host_async(client_.get(), address_.host.c_str(), address_.port,
                                           attempt_.get(), on_connected, pending);
 }
--- a/modules/net/src/poller.cpp
+++ b/modules/net/src/poller.cpp
@@ -110,11 +110,13 @@
 
 void poller::run_flushes()
 {
-    // A flush may cause further ones; they run in the same turn.
-    for (std::size_t it = 0; it < flushes_.size(); ++it) {
-        if (pollable* what = std::exchange(flushes_[it], nullptr); what != nullptr) {
+    // A flush may cause further ones; they run in the same turn, and the list grows meanwhile.
+    std::size_t next = 0;
+    while (next < flushes_.size()) {
+        if (pollable* what = std::exchange(flushes_[next], nullptr); what != nullptr) {
             what->flush();
         }
+        ++next;
     }
     flushes_.clear();
 }
--- a/modules/replog/include/hickorypost/replog/types.h
+++ b/modules/replog/include/hickorypost/replog/types.h
@@ -131,9 +131,10 @@
     std::size_t retained_entries = 4096;
     /// Append messages with entries that may be unanswered per follower.
     std::size_t max_inflight = 8;
-    /// A replica votes, and stands for election, soon after its start. Without it a restarted replica
-    /// first waits out a lease that a leader may hold, which costs all callers that time when every
-    /// host has lost power. Only where nothing is read under the lease (`group::read_confirmed`).
+    /// A replica votes, and stands for election, soon after its start. Without it a restarted
+    /// replica first waits out a lease that a leader may hold, which costs all callers that time
+    /// when every host has lost power. Only where nothing is read under the lease
+    /// (`group::read_confirmed`).
     bool vote_at_start = false;
     /// Voters wanted; 0: as many as there are founders.
     std::size_t voters = 0;
--- a/modules/replog/tests/sim_cluster.cpp
+++ b/modules/replog/tests/sim_cluster.cpp
@@ -89,7 +89,8 @@
                                                   random_, clock_of(host));
     if (options_.replace_silent) {
         // Spare hosts stand in no list of founders; all hosts learn of each other by other means.
-        std::for_each(names_.begin(), names_.end(), [&](const auto& name) { core->add_contact(name); });
+        std::for_each(names_.begin(), names_.end(),
+                      [&](const auto& name) { core->add_contact(name); });
     }
     replog::group_hooks hooks;
     hooks.send = [this, host](const node_id& to, const replog::message& msg) {
--- /dev/null
+++ b/src/cli/log_history.cpp
@@ -0,0 +1,201 @@
+#include "cli/log_history.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <ctime>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace hickorypost {
+
+namespace {
+
+struct parsed_line {
+    log_line line;
+    std::string message;
+    std::string request;
+    std::string backend;
+};
+
+/// Where one process's clock was against the reference, at one of its lines.
+struct clock_anchor {
+    std::size_t at = 0;
+    std::int64_t offset_ms = 0;
+};
+
+constexpr std::int64_t millis_per_second = 1000;
+
+std::optional<std::int64_t> parse_time(const std::string& text)
+{
+    std::tm it{};
+    const char* const rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &it);
+    if (rest == nullptr) {
+        return std::nullopt;
+    }
+    const std::int64_t part = *rest == '.' ? std::strtol(rest + 1, nullptr, 10) : 0;
+    return static_cast<std::int64_t>(timegm(&it)) * millis_per_second + part;
+}
+
+std::optional<parsed_line> parse_line(const std::string& text)
+{
+    const auto at = text.find('{');
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto value = nlohmann::json::parse(text.substr(at), nullptr, false);
+    if (!value.is_object() || !value.contains("time") || !value["time"].is_string()) {
+        return std::nullopt;
+    }
+    const auto time = parse_time(value["time"].get<std::string>());
+    if (!time) {
+        return std::nullopt;
+    }
+    parsed_line out;
+    out.line.written_ms = *time;
+    for (const auto& [name, field] : value.items()) {
+        const std::string shown = field.is_string() ? field.get<std::string>() : field.dump();
+        if (name == "node") {
+            out.line.node = shown;
+        } else if (name == "event") {
+            out.line.event = shown;
+        } else if (name == "message") {
+            out.message = shown;
+        } else if (name == "request") {
+            out.request = shown;
+        } else if (name == "backend") {
+            out.backend = shown;
+        }
+        const bool has_column =
+            name == "time" || name == "node" || name == "event" || name == "level";
+        if (!has_column && !shown.empty()) {
+            out.line.text.append(out.line.text.empty() ? "" : " ");
+            out.line.text.append(name).append("=").append(shown);
+        }
+    }
+    return out;
+}
+
+/// Says the same on all processes at about the same moment.
+bool is_shared(const parsed_line& it)
+{
+    return it.message.starts_with("backend server ") ||
+           (it.message.starts_with("configuration ") &&
+            it.message.find(" in force") != std::string::npos);
+}
+
+using by_node = std::map<std::string, std::vector<parsed_line>>;
+
+std::map<std::string, std::int64_t> shared_times(const std::vector<parsed_line>& lines)
+{
+    std::map<std::string, std::int64_t> out;
+    for (const auto& it : lines) {
+        if (is_shared(it)) {
+            out.try_emplace(it.message, it.line.written_ms);
+        }
+    }
+    return out;
+}
+
+void correct_clock(std::vector<parsed_line>& lines,
+                   const std::map<std::string, std::int64_t>& reference)
+{
+    std::vector<clock_anchor> anchors;
+    for (std::size_t n = 0; n < lines.size(); ++n) {
+        const auto same = reference.find(lines[n].message);
+        if (is_shared(lines[n]) && same != reference.end()) {
+            anchors.push_back({n, lines[n].line.written_ms - same->second});
+        }
+    }
+    for (std::size_t n = 0; n < lines.size(); ++n) {
+        const auto nearest =
+            std::min_element(anchors.begin(), anchors.end(), [n](const auto& a, const auto& b) {
+                const auto distance = [n](std::size_t at) { return at > n ? at - n : n - at; };
+                return distance(a.at) < distance(b.at);
+            });
+        const std::int64_t offset = nearest == anchors.end() ? 0 : nearest->offset_ms;
+        lines[n].line.corrected_ms = lines[n].line.written_ms - offset;
+    }
+}
+
+bool mentions_config(const parsed_line& it, const std::string& version)
+{
+    return !version.empty() && it.message.starts_with("configuration " + version + " ");
+}
+
+/// Lines that the query asks for, and those on the backend servers around them.
+std::vector<log_line> select(const by_node& nodes, const history_query& query)
+{
+    std::vector<log_line> out;
+    std::set<std::string> backends;
+    for (const auto& [node, lines] : nodes) {
+        for (const auto& it : lines) {
+            const bool of_request = !query.request.empty() && it.request == query.request;
+            if (of_request && !it.backend.empty()) {
+                backends.insert(it.backend);
+            }
+            if (of_request || mentions_config(it, query.config_version)) {
+                out.push_back(it.line);
+            }
+        }
+    }
+    if (out.empty()) {
+        return out;
+    }
+    const auto [first, last] =
+        std::minmax_element(out.begin(), out.end(), [](const auto& a, const auto& b) {
+            return a.corrected_ms < b.corrected_ms;
+        });
+    const std::int64_t from = first->corrected_ms - query.around_ms;
+    const std::int64_t to = last->corrected_ms + query.around_ms;
+    for (const auto& [node, lines] : nodes) {
+        for (const auto& it : lines) {
+            const bool on_backend =
+                std::any_of(backends.begin(), backends.end(), [&](const auto& backend) {
+                    return it.message.starts_with("backend server " + backend + " ");
+                });
+            if (on_backend && it.line.corrected_ms >= from && it.line.corrected_ms <= to) {
+                out.push_back(it.line);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+log_history read_history(const std::vector<std::string>& files, const history_query& query)
+{
+    log_history out;
+    by_node nodes;
+    for (const auto& file : files) {
+        std::stringstream in{file};
+        for (std::string text; std::getline(in, text);) {
+            auto it = parse_line(text);
+            if (it) {
+                nodes[it->line.node].push_back(std::move(*it));
+            } else {
+                ++out.unreadable;
+            }
+        }
+    }
+    const auto reference =
+        std::max_element(nodes.begin(), nodes.end(), [](const auto& a, const auto& b) {
+            return a.second.size() < b.second.size();
+        });
+    if (reference == nodes.end()) {
+        return out;
+    }
+    const auto times = shared_times(reference->second);
+    for (auto& [node, lines] : nodes) {
+        correct_clock(lines, times);
+    }
+    out.lines = select(nodes, query);
+    std::stable_sort(out.lines.begin(), out.lines.end(),
+                     [](const auto& a, const auto& b) { return a.corrected_ms < b.corrected_ms; });
+    return out;
+}
+
+} // namespace hickorypost
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -53,7 +53,7 @@
         arm(pool_.settings_.connect_limit, [this] { fault(gateway::attempt_fault::not_sent); });
     }
 
-    void begin(std::string head, std::string_view body, bool bodyless,
+    void begin(std::string_view head, std::string_view body, bool bodyless,
                gateway::attempt_events& events)
     {
         events_ = &events;
@@ -322,7 +322,7 @@
     }
     connection* const raw = it.get();
     busy_.emplace(raw, std::move(it));
-    raw->begin(std::move(head), body, bodyless, events);
+    raw->begin(head, body, bodyless, events);
     return std::make_unique<running>(*this, raw);
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -306,6 +306,7 @@
 std::vector<std::string> hosts_of(const std::vector<net::peer_address>& addresses)
 {
     std::vector<std::string> out;
+    out.reserve(addresses.size());
     for (const auto& it : addresses) {
         out.push_back(it.host);
     }
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -294,6 +294,13 @@
         run_role},
     verb{"serve", "run every role that a settings file names, in one process",
          "hickorypost serve FILE\n  Example: hickorypost serve all-in-one.ini\n", run_role},
+    verb{
+        "history", "show one request's or configuration's story from log files",
+        "hickorypost history --request ID | --config VERSION [--around-ms N] LOG...\n"
+        "  Reads the logs of several gateway hosts and puts the lines in order; clocks may\n"
+        "  disagree. Lines on the request's backend servers are shown from N ms (3000) before it.\n"
+        "  Example: hickorypost history --request 9c41d07be2a35f68 /var/log/gateway-*.log\n",
+        run_history},
     verb{"submit", "submit new records",
          "hickorypost submit [--change ID] FILE...\n"
          "  Sends record files. Sending the same --change again gets the first answer again.\n"
--- /dev/null
+++ b/tests/cli/log_history_test.cpp
@@ -0,0 +1,55 @@
+#include "cli/log_history.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+
+std::string line(const std::string& node, const std::string& time, const std::string& rest)
+{
+    return R"({"time":"2026-01-01T00:00:)" + time + R"(Z","level":"info","node":")" + node + "\"," +
+           rest + "}\n";
+}
+
+std::string message(const std::string& node, const std::string& time, const std::string& text)
+{
+    return line(node, time, R"("event":"message","message":")" + text + "\"");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cli_log_history)
+
+// Two hosts whose clocks are 20 s apart. A request fails on one because its backend server was said
+// to drain by the other just before: in the story that comes first.
+BOOST_AUTO_TEST_CASE(a_story_is_in_order_though_clocks_disagree)
+{
+    const std::string one = message("a", "10.000", "configuration 5 in force: 3 routes") +
+                            message("a", "12.000", "backend server i-1 of app is draining") +
+                            line("a", "12.300",
+                                 R"("event":"request_ended","request":"q",)"
+                                 R"("backend":"i-1","outcome":"failed")") +
+                            message("a", "13.000", "ready: true");
+    const std::string two =
+        "collector 1 " + message("b", "30.001", "configuration 5 in force: 3 routes") +
+        message("b", "31.990", "backend server i-1 of app is draining") + "not a line of ours\n";
+    const auto found = read_history({one, two}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 3U);
+    BOOST_TEST(found.lines[0].text.find("draining") != std::string::npos);
+    BOOST_TEST(found.lines[2].event == "request_ended");
+    BOOST_TEST(found.lines[2].text.find("outcome=failed") != std::string::npos);
+    BOOST_TEST(found.unreadable == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_configurations_story_names_each_host)
+{
+    const std::string one = message("a", "10.000", "configuration 5 acknowledged") +
+                            message("a", "10.010", "configuration 5 in force: 3 routes");
+    const std::string two = message("b", "10.020", "configuration 5 in force: 3 routes") +
+                            message("b", "10.500", "configuration 51 in force: 3 routes");
+    const auto found = read_history({one, two}, {.config_version = "5"});
+    BOOST_TEST(found.lines.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
