[exchange] Addresses taken over use up no tries; time is kept for a second try

Cause 1, read from a failed request's story: three addresses in a row had been taken over by other incarnations (421), which used up the three tries that the route allows, and the caller was refused though ten backend servers were free. Cause 2: a route's time of 400 ms was shorter than the patience of 450 ms with a silent backend server, so the request timed out without a second try. Tests: addresses_taken_over_use_up_no_tries and a_silent_backend_server_leaves_time_for_another.

--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -305,11 +305,16 @@
 
 void exchange::handle_not_run(const backend_answer& answer)
 {
-    count_send();
     if (answer.wrong_backend) {
+        // The backend server that it was meant for has not seen it: it takes none of the tries that
+        // the route allows. After a restart of many, several such addresses may be met in a row.
+        ++unsent_;
         services_.directory.remove(record_.backend, services_.now());
         services_.note(record_, "backend_gone", "another incarnation answers at its address");
     }
+    if (!answer.wrong_backend) {
+        count_send();
+    }
     end_attempt(answer.wrong_backend ? attempt_result::unreachable : attempt_result::refused);
     go_on_elsewhere("backend server refused");
 }
@@ -568,8 +573,10 @@
                               ? route_.target_gap.value_or(route_.target_latency)
                               : route_.target_latency;
     const double factor = stream ? settings.silence_factor : settings.plain_silence_factor;
-    const auto wait =
+    const auto patience =
         millis{static_cast<std::int64_t>(static_cast<double>(target.count()) * factor)};
+    // Half of what is left is kept for another try, or a silent backend server costs the request.
+    const millis wait = std::min(patience, time_left() / 2);
     silence_timer_ = services_.timers.add(services_.now() + wait, [this] {
         silence_timer_ = 0;
         silence_passed();
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -107,6 +107,7 @@
             backend_answer out;
             out.status = head.status;
             out.ran = head.fields.find("X-Ran") != "0";
+            out.wrong_backend = head.status == 421;
             out.signed_body = !head.fields.find("X-Unsigned");
             out.request_id = head.fields.find("X-Id").value_or("q");
             out.confidence = std::stod(std::string{head.fields.find("X-Confidence").value_or("1")});
@@ -360,6 +361,38 @@
     BOOST_TEST(it.caller.body == event(0));
 }
 
+// Three addresses in a row were taken over by other incarnations. None of the three has seen the
+// request, so it may still go to the one that is really there.
+BOOST_AUTO_TEST_CASE(addresses_taken_over_use_up_no_tries)
+{
+    one_gateway it;
+    it.add_backend("b4");
+    it.ask([](route_spec& route) {
+        as_unsafe(route);
+        route.max_attempts = 1;
+    });
+    for (int n = 0; n < 3; ++n) {
+        it.answer(421, "", false);
+    }
+    BOOST_REQUIRE(it.backends.attempts.size() == 4U);
+    it.answer(200, "good");
+    it.complete();
+    BOOST_TEST(it.caller.status == 200U);
+}
+
+// The route's time is shorter than the usual patience with a silent backend server. Half of it is
+// enough to wait for the first.
+BOOST_AUTO_TEST_CASE(a_silent_backend_server_leaves_time_for_another)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) { route.timeout = millis{400}; });
+    it.timers.run_for(millis{210});
+    BOOST_REQUIRE(it.backends.attempts.size() == 2U);
+    it.answer(200, "good");
+    it.complete();
+    BOOST_TEST(it.caller.body == "good");
+}
+
 // One backend server hangs while an idempotent request waits for it. Another one gets it in time.
 BOOST_AUTO_TEST_CASE(a_silent_backend_server_is_left)
 {
