--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -99,15 +99,13 @@
                      instant now);
     /// Own work by backend server, for other processes.
     [[nodiscard]] std::map<std::string, remote_load> own_loads() const;
-    /// Whether a candidate has a place free now, as far as this process knows.
-    [[nodiscard]] bool has_place(std::span<const backend_entry* const> candidates,
-                                 instant now) const;
-    void forget(std::string_view backend);
+    void forget(const std::string& backend);
 
 private:
     struct backend_load {
         double requests = 0;
         double reading_ms = 0;
+        remote_load others; ///< all other processes' work, as last added up
         double failure_ratio = 0;
         double service_ms = 0; ///< running mean; 0: none yet
         std::uint32_t misses = 0;
@@ -120,27 +118,38 @@
         instant taken;
     };
 
-    [[nodiscard]] remote_load others_on(const std::string& backend, instant now) const;
-    /// Time to read a prompt of which `cached` tokens are kept.
-    [[nodiscard]] double reading_ms(const job_size& job, double cached) const;
+    /// A candidate with what is known of it.
+    struct option {
+        const backend_entry* entry = nullptr;
+        backend_load* load = nullptr;
+    };
     /// What all candidates have in common for one choice.
     struct comparison {
         double failures = 0;   ///< mean failure ratio
         double service_ms = 0; ///< of one that was not measured yet
     };
-    comparison compare(std::span<const backend_entry* const> candidates);
-    double cost_ms(const backend_entry& it, const job_size& job, const comparison& all,
-                   instant now);
-    double cached_tokens(const backend_entry& it, const job_size& job, bool home, instant now);
 
-    static std::string_view home_of(std::span<const backend_entry* const> candidates,
-                                    const job_size& job);
+    void refresh_others(instant now);
+    void set_options(std::span<const backend_entry* const> candidates);
+    void set_part_keys(const job_size& job);
+    /// The candidate on which prompts with these parts meet; null if there are none.
+    [[nodiscard]] const backend_entry* home() const;
+    [[nodiscard]] comparison compare() const;
+    /// Time to read a prompt of which `cached` tokens are kept.
+    [[nodiscard]] double reading_ms(const job_size& job, double cached) const;
+    [[nodiscard]] double cost_ms(const option& at, const job_size& job, const comparison& all,
+                                 instant now) const;
+    [[nodiscard]] double cached_tokens(const backend_load& load, const job_size& job, bool is_home,
+                                       instant now) const;
 
     balancer_settings settings_;
     std::string own_domain_;
     random_fn random_;
-    std::map<std::string, backend_load, std::less<>> loads_;
+    std::unordered_map<std::string, backend_load> loads_;
     std::map<std::string, remote_report> remote_;
+    instant others_due_;
+    std::vector<option> options_;          ///< of the choice being made
+    std::vector<std::uint64_t> part_keys_; ///< of the shared parts of its prompt
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -11,6 +11,8 @@
 
 /// A report older than this says nothing any more: its sender may be gone.
 constexpr millis remote_report_life{2000};
+/// Others' reports are added up again this often, however many choices are made.
+constexpr millis others_period{50};
 /// How sure it is that an engine keeps a part whose home it is by hashing, though this process has
 /// not sent it there: others have, unless the part is used less often than engines forget.
 constexpr double home_trust = 0.9;
@@ -43,53 +45,70 @@
 {
 }
 
-remote_load load_balancer::others_on(const std::string& backend, instant now) const
+void load_balancer::refresh_others(instant now)
 {
-    remote_load out;
+    if (now < others_due_) {
+        return;
+    }
+    others_due_ = now + others_period;
+    for (auto& [id, load] : loads_) {
+        load.others = {};
+    }
+    std::erase_if(remote_,
+                  [&](const auto& it) { return now > it.second.taken + remote_report_life; });
     for (const auto& [process, report] : remote_) {
-        if (now > report.taken + remote_report_life) {
-            continue;
-        }
-        if (const auto it = report.loads.find(backend); it != report.loads.end()) {
-            out.requests += it->second.requests;
-            out.reading_ms += it->second.reading_ms;
+        for (const auto& [id, it] : report.loads) {
+            auto& others = loads_[id].others;
+            others.requests += it.requests;
+            others.reading_ms += it.reading_ms;
         }
     }
-    return out;
 }
 
-std::string_view load_balancer::home_of(std::span<const backend_entry* const> candidates,
-                                        const job_size& job)
+void load_balancer::set_options(std::span<const backend_entry* const> candidates)
 {
-    const auto shared = shared_parts(job);
-    if (shared.empty()) {
-        return {};
+    options_.clear();
+    for (const auto* it : candidates) {
+        options_.push_back({it, &loads_[it->record.id]});
     }
-    const std::uint64_t key = part_key(shared.back(), job.model);
-    std::string_view home;
+}
+
+void load_balancer::set_part_keys(const job_size& job)
+{
+    part_keys_.clear();
+    for (const auto& part : shared_parts(job)) {
+        part_keys_.push_back(part_key(part, job.model));
+    }
+}
+
+const backend_entry* load_balancer::home() const
+{
+    const backend_entry* out = nullptr;
     std::uint64_t highest = 0;
-    for (const auto* it : candidates) {
-        if (const std::uint64_t rank = hash_bytes(it->record.id, key);
-            home.empty() || rank > highest) {
+    for (const auto& it : options_) {
+        if (part_keys_.empty()) {
+            break;
+        }
+        const std::uint64_t rank = hash_bytes(it.entry->record.id, part_keys_.back());
+        if (out == nullptr || rank > highest) {
             highest = rank;
-            home = it->record.id;
+            out = it.entry;
         }
     }
-    return home;
+    return out;
 }
 
-double load_balancer::cached_tokens(const backend_entry& it, const job_size& job, bool home,
-                                    instant now)
+double load_balancer::cached_tokens(const backend_load& load, const job_size& job, bool is_home,
+                                    instant now) const
 {
-    const auto& known = loads_[it.record.id].parts;
     double out = 0;
-    for (const auto& part : shared_parts(job)) {
-        const auto used = known.find(part_key(part, job.model));
-        const bool kept = used != known.end() && now < used->second + settings_.prefix_memory;
-        if (!kept && !home) {
+    for (std::size_t n = 0; n < part_keys_.size(); ++n) {
+        const auto used = load.parts.find(part_keys_[n]);
+        const bool kept = used != load.parts.end() && now < used->second + settings_.prefix_memory;
+        if (!kept && !is_home) {
             return out; // what follows a part that is not kept is read again too
         }
-        out += part.tokens * (kept ? 1.0 : home_trust);
+        out += job.parts[n].tokens * (kept ? 1.0 : home_trust);
     }
     return out;
 }
@@ -103,11 +122,12 @@
            (fresh * thousand / settings_.prompt_tokens_per_ms + settings_.square_ms * fresh * all);
 }
 
-double load_balancer::cost_ms(const backend_entry& it, const job_size& job, const comparison& all,
-                              instant now)
+double load_balancer::cost_ms(const option& at, const job_size& job, const comparison& all,
+                              instant now) const
 {
-    const backend_load& load = loads_[it.record.id];
-    const remote_load others = others_on(it.record.id, now);
+    const backend_entry& it = *at.entry;
+    const backend_load& load = *at.load;
+    const remote_load& others = load.others;
     const double running = load.requests + others.requests;
     const double slots = std::max<std::uint32_t>(1, it.record.slots);
     double out = it.record.failure_domain == own_domain_ ? 0 : settings_.other_domain_ms;
@@ -130,16 +150,16 @@
     return out;
 }
 
-load_balancer::comparison load_balancer::compare(std::span<const backend_entry* const> candidates)
+load_balancer::comparison load_balancer::compare() const
 {
     comparison out;
-    for (const auto* it : candidates) {
-        const auto& load = loads_[it->record.id];
-        out.failures += load.failure_ratio / static_cast<double>(candidates.size());
+    for (const auto& it : options_) {
+        out.failures += it.load->failure_ratio / static_cast<double>(options_.size());
         // One that was never measured counts as the fastest known: it would not be tried otherwise
         // until the others are loaded, and a new one would stand idle.
-        if (load.service_ms > 0 && (out.service_ms == 0 || load.service_ms < out.service_ms)) {
-            out.service_ms = load.service_ms;
+        const double known = it.load->service_ms;
+        if (known > 0 && (out.service_ms == 0 || known < out.service_ms)) {
+            out.service_ms = known;
         }
     }
     if (out.service_ms == 0) {
@@ -152,22 +172,25 @@
                                            const job_size& job, std::span<const std::string> tried,
                                            instant now)
 {
-    const std::string_view home = home_of(candidates, job);
-    const comparison all = compare(candidates);
+    refresh_others(now);
+    set_options(candidates);
+    set_part_keys(job);
+    const auto* const at_home = home();
+    const comparison all = compare();
+    const double token_ms = settings_.prefix_weight * job.pace / settings_.prompt_tokens_per_ms;
     const backend_entry* best = nullptr;
     double lowest = std::numeric_limits<double>::max();
-    for (const auto* it : candidates) {
-        if (std::find(tried.begin(), tried.end(), it->record.id) != tried.end()) {
+    for (const auto& it : options_) {
+        if (std::find(tried.begin(), tried.end(), it.entry->record.id) != tried.end()) {
             continue;
         }
-        double cost = cost_ms(*it, job, all, now);
-        cost -= settings_.prefix_weight * job.pace / settings_.prompt_tokens_per_ms *
-                cached_tokens(*it, job, it->record.id == home, now);
+        double cost = cost_ms(it, job, all, now);
+        cost -= token_ms * cached_tokens(*it.load, job, it.entry == at_home, now);
         // Up to a millisecond of chance: processes that know the same do not all choose the same.
         cost += unit_random(random_);
         if (cost < lowest) {
             lowest = cost;
-            best = it;
+            best = it.entry;
         }
     }
     return best;
@@ -177,9 +200,10 @@
                                              instant now)
 {
     backend_load& load = loads_[on.record.id];
-    const double cached = cached_tokens(on, job, false, now);
-    for (const auto& part : shared_parts(job)) {
-        load.parts[part_key(part, job.model)] = now;
+    set_part_keys(job);
+    const double cached = cached_tokens(load, job, false, now);
+    for (const auto key : part_keys_) {
+        load.parts[key] = now;
     }
     constexpr std::size_t parts_before_cleaning = 2000;
     if (load.parts.size() > parts_before_cleaning) {
@@ -249,6 +273,7 @@
                                 std::map<std::string, remote_load> loads, instant now)
 {
     remote_[process] = {std::move(loads), now};
+    others_due_ = std::min(others_due_, now + others_period);
 }
 
 std::map<std::string, remote_load> load_balancer::own_loads() const
@@ -262,20 +287,9 @@
     return out;
 }
 
-bool load_balancer::has_place(std::span<const backend_entry* const> candidates, instant now) const
-{
-    return std::any_of(candidates.begin(), candidates.end(), [&](const auto* it) {
-        const auto own = loads_.find(it->record.id);
-        const double mine = own == loads_.end() ? 0 : own->second.requests;
-        return mine + others_on(it->record.id, now).requests < it->record.slots;
-    });
-}
-
-void load_balancer::forget(std::string_view backend)
+void load_balancer::forget(const std::string& backend)
 {
-    if (const auto it = loads_.find(backend); it != loads_.end()) {
-        loads_.erase(it);
-    }
+    loads_.erase(backend);
 }
 
 } // namespace hickorypost::gateway
