--- /dev/null
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -0,0 +1,232 @@
+/// A request's way, second part: what the backend server answers, and how it reaches the caller.
+
+#include "hickorypost/gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_failure = 500;
+
+bool is_success(unsigned status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+bool exchange::on_head(http1::response_head& head)
+{
+    const backend_answer answer = services_.read_answer(head);
+    if (!answer.request_id.empty() && answer.request_id != request_.id) {
+        return false; // a late extra answer to an earlier request of this connection
+    }
+    if (!answer.ran) {
+        handle_not_run(answer);
+        return true;
+    }
+    count_send();
+    may_have_run_ = true;
+    const bool counterfeit = answer.encoded || (is_success(answer.status) && !answer.signed_body);
+    if (counterfeit) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("answer without the backend server's signature");
+        return true;
+    }
+    if (stage_ == stage::relaying && !is_success(answer.status)) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("backend server failed");
+        return true;
+    }
+    if (answer.status >= first_server_failure) {
+        handle_failure_answer(head);
+        return true;
+    }
+    if (!escalate(answer)) {
+        start_relay(head);
+    }
+    return true;
+}
+
+void exchange::handle_not_run(const backend_answer& answer)
+{
+    if (answer.wrong_backend) {
+        // The backend server that it was meant for has not seen it: it takes none of the tries that
+        // the route allows. After a restart of many, several such addresses may be met in a row.
+        ++unsent_;
+        services_.directory.remove(record_.backend, services_.now());
+        services_.note(record_, "backend_gone", "another incarnation answers at its address");
+    }
+    if (!answer.wrong_backend) {
+        count_send();
+    }
+    end_attempt(answer.wrong_backend ? attempt_result::unreachable : attempt_result::refused);
+    go_on_elsewhere("backend server refused");
+}
+
+void exchange::handle_failure_answer(http1::response_head& head)
+{
+    head_ = std::move(head);
+    held_.clear();
+    stage_ = stage::holding;
+    failure_head_ = head_;
+}
+
+bool exchange::escalate(const backend_answer& answer)
+{
+    if (!request_.any_model || !answer.confidence || stage_ == stage::relaying || !may_repeat()) {
+        return false;
+    }
+    const auto rank = services_.models.after(route_, model_rank_, *answer.confidence, time_left());
+    if (rank == model_rank_ || !repeat_allowed()) {
+        return false;
+    }
+    model_rank_ = rank;
+    escalated_ = true;
+    services_.note(record_, "model_escalated", "confidence below the least accepted");
+    end_attempt(attempt_result::dropped);
+    try_attempt();
+    return true;
+}
+
+void exchange::start_relay(http1::response_head& head)
+{
+    if (stage_ == stage::relaying) {
+        return; // the answer keeps the head of its first run
+    }
+    if (route_.kind == request_kind::streaming && is_success(head.status)) {
+        head_ = std::move(head);
+        stage_ = stage::pending;
+        return;
+    }
+    services_.balancer.first_answer(*ticket_, services_.now());
+    record_.to_first = services_.now() - began_;
+    head_ = std::move(head);
+    held_.clear();
+    stage_ = stage::holding;
+}
+
+void exchange::on_body(std::string_view bytes)
+{
+    const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
+    if (events) {
+        relay_events(bytes);
+        return;
+    }
+    if (failure_head_) {
+        held_.append(bytes);
+        return;
+    }
+    if (stage_ == stage::relaying) {
+        caller_.piece(bytes);
+    } else {
+        held_.append(bytes);
+        if (held_.size() > services_.settings.held_bytes) {
+            stage_ = stage::relaying;
+            head_.fields.remove_hop_by_hop();
+            head_.fields.remove("Content-Length");
+            caller_.begin(head_);
+            caller_.piece(std::exchange(held_, {}));
+        }
+    }
+    if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
+        current_->set_reading(false);
+    }
+}
+
+void exchange::relay_events(std::string_view bytes)
+{
+    const std::string whole = events_.push(bytes);
+    if (events_.out_of_order()) {
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("events out of order");
+        return;
+    }
+    if (whole.empty()) {
+        return;
+    }
+    if (stage_ != stage::relaying) {
+        stage_ = stage::relaying;
+        record_.to_first = services_.now() - began_;
+        if (const auto target = std::chrono::duration_cast<micros>(route_.target_latency);
+            target.count() > 0) {
+            services_.models.saw_first(static_cast<double>(record_.to_first.count()) /
+                                       static_cast<double>(target.count()));
+        }
+        head_.fields.remove_hop_by_hop();
+        head_.fields.remove("Content-Length");
+        caller_.begin(head_);
+    }
+    const instant now = services_.now();
+    if (last_event_ != instant{}) {
+        record_.longest_gap = std::max(record_.longest_gap, now - last_event_);
+    }
+    last_event_ = now;
+    services_.balancer.first_answer(*ticket_, now);
+    caller_.piece(whole);
+    if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
+        current_->set_reading(false);
+    }
+    watch_silence();
+}
+
+void exchange::on_complete()
+{
+    if (failure_head_ && stage_ == stage::holding) {
+        failure_body_ = std::exchange(held_, {});
+        end_attempt(attempt_result::failed);
+        next_attempt("backend server failed");
+        return;
+    }
+    const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
+    if (events && (events_.has_partial() || stage_ == stage::pending)) {
+        // A stream that ends within an event, or with none, lost its end on the way.
+        end_attempt(attempt_result::failed);
+        go_on_elsewhere("stream ended within an event");
+        return;
+    }
+    end_attempt(attempt_result::answered);
+    record_.events = events_.events();
+    if (stage_ == stage::relaying) {
+        caller_.end();
+        finish(exchange_outcome::answered, head_.status, {});
+        return;
+    }
+    deliver_held();
+}
+
+void exchange::deliver_held()
+{
+    head_.fields.remove_hop_by_hop();
+    head_.fields.remove("Content-Length");
+    const unsigned status = head_.status;
+    caller_.respond(std::move(head_), std::exchange(held_, {}));
+    finish(exchange_outcome::answered, status, {});
+}
+
+void exchange::on_fault(attempt_fault fault)
+{
+    const bool sent = fault != attempt_fault::not_sent;
+    const bool head_seen = stage_ != stage::waiting;
+    if (sent) {
+        count_send();
+        may_have_run_ = true;
+    } else {
+        ++unsent_;
+    }
+    const bool broke = fault == attempt_fault::broken || head_seen;
+    end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
+    if (stage_ == stage::relaying) {
+        go_on_elsewhere(describe(fault));
+        return;
+    }
+    failure_head_.reset();
+    next_attempt(describe(fault));
+}
+
+} // namespace hickorypost::gateway
