[pool, exchange] Each host keeps within its part of a backend server's connection limit

Cause: a backend server resets connections beyond the limit that all hosts share; a request on one that was reset may have run and could not be repeated. Change: a host opens at most 0.8 of the limit over the hosts; a request that finds no connection goes elsewhere and uses up no try. Fields that nobody read are gone. Red on the way: a_stopped_host_finishes_what_it_has_begun failed with SIGABRT in one run: the counts were destroyed before the connections that count themselves out. Mended by their order; the 13 cases pass.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -183,7 +183,6 @@
     bool send_counted_ = false; ///< the current attempt is among `sends_`
     bool may_have_run_ = false;
     std::size_t model_rank_ = 0;
-    bool escalated_ = false;
 
     stage stage_ = stage::waiting;
     http1::response_head head_;
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -55,12 +55,12 @@
     bool encoded = false;       ///< the body is not the backend server's own
     std::string request_id;     ///< whose answer it is
     std::optional<double> confidence; ///< 0 to 1: the model's opinion of its answer
-    std::optional<millis> retry_after;
 };
 
 /// Why an attempt ended without a whole answer.
 enum class attempt_fault : std::uint8_t {
     not_sent, ///< no byte of the request left this process: it did not run
+    no_room,  ///< nor here: all connections that this process may have there are taken
     silent,   ///< the connection hung or died without an answer
     broken,   ///< cut short, or bytes that are no answer
 };
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -28,6 +28,8 @@
     switch (fault) {
     case attempt_fault::not_sent:
         return "no connection";
+    case attempt_fault::no_room:
+        return "all connections taken";
     case attempt_fault::silent:
         return "connection lost without an answer";
     case attempt_fault::broken:
@@ -413,6 +415,7 @@
     record_.outcome = outcome;
     record_.status = status;
     record_.reason = why;
+    record_.events = events_.events();
     record_.total = services_.now() - began_;
     services_.finished(record_);
 }
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -87,7 +87,6 @@
         return false;
     }
     model_rank_ = rank;
-    escalated_ = true;
     services_.note(record_, "model_escalated", "confidence below the least accepted");
     end_attempt(attempt_result::dropped);
     try_attempt();
@@ -191,7 +190,6 @@
         return;
     }
     end_attempt(attempt_result::answered);
-    record_.events = events_.events();
     if (stage_ == stage::relaying) {
         caller_.end();
         finish(exchange_outcome::answered, head_.status, {});
@@ -211,7 +209,7 @@
 
 void exchange::on_fault(attempt_fault fault)
 {
-    const bool sent = fault != attempt_fault::not_sent;
+    const bool sent = fault == attempt_fault::silent || fault == attempt_fault::broken;
     const bool head_seen = stage_ != stage::waiting;
     if (sent) {
         count_send();
@@ -220,7 +218,11 @@
         ++unsent_;
     }
     const bool broke = fault == attempt_fault::broken || head_seen;
-    end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
+    if (fault == attempt_fault::no_room) {
+        end_attempt(attempt_result::refused);
+    } else {
+        end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
+    }
     if (stage_ == stage::relaying) {
         go_on_elsewhere(describe(fault));
         return;
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -361,6 +361,22 @@
     BOOST_TEST(it.caller.body == event(0));
 }
 
+// All connections that this process may have to a backend server are taken. The request goes
+// elsewhere and uses up no try; the backend server is not taken for unreachable.
+BOOST_AUTO_TEST_CASE(a_full_connection_limit_sends_a_request_elsewhere)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) {
+        as_unsafe(route);
+        route.max_attempts = 1;
+    });
+    it.fault(attempt_fault::no_room);
+    BOOST_REQUIRE(it.backends.attempts.size() == 2U);
+    it.answer(200, "good");
+    it.complete();
+    BOOST_TEST(it.caller.status == 200U);
+}
+
 // Three addresses in a row were taken over by other incarnations. None of the three has seen the
 // request, so it may still go to the one that is really there.
 BOOST_AUTO_TEST_CASE(addresses_taken_over_use_up_no_tries)
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -34,9 +34,17 @@
     connection(backend_pool& pool, gateway::attempt_target target)
         : pool_{pool}, target_{std::move(target)}, idle_limit_{pool.settings_.idle_default}
     {
+        ++pool_.count_[target_.backend];
     }
 
-    ~connection() { pool_.timers_.cancel(timer_); }
+    ~connection()
+    {
+        pool_.timers_.cancel(timer_);
+        const auto count = pool_.count_.find(target_.backend);
+        if (--count->second == 0) {
+            pool_.count_.erase(count);
+        }
+    }
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
@@ -285,10 +293,42 @@
     connection* on_;
 };
 
+/// An attempt for which there was no connection.
+class backend_pool::no_attempt final : public gateway::attempt {
+public:
+    no_attempt(backend_pool& pool, gateway::attempt_events& events)
+        : pool_{pool}, timer_{pool.timers_.add(pool.now_(), [this, &events] {
+              timer_ = 0;
+              events.on_fault(gateway::attempt_fault::no_room);
+          })}
+    {
+    }
+    ~no_attempt() override { pool_.timers_.cancel(timer_); }
+    no_attempt(const no_attempt&) = delete;
+    no_attempt& operator=(const no_attempt&) = delete;
+    void set_reading(bool) override {}
+
+private:
+    backend_pool& pool_;
+    std::uint64_t timer_;
+};
+
 backend_pool::backend_pool(net::poller& on, gateway::scheduler& timers, clock_fn now,
-                           backend_pool_settings settings)
-    : poller_{on}, timers_{timers}, now_{std::move(now)}, settings_{settings}
+                           std::function<std::size_t()> hosts, backend_pool_settings settings)
+    : poller_{on}, timers_{timers}, now_{std::move(now)}, hosts_{std::move(hosts)}, settings_{
+                                                                                        settings}
+{
+}
+
+bool backend_pool::has_room(const gateway::attempt_target& target) const
 {
+    const auto count = count_.find(target.backend);
+    if (count == count_.end() || target.max_connections == 0) {
+        return true;
+    }
+    const double share = settings_.used_part * target.max_connections /
+                         static_cast<double>(std::max<std::size_t>(1, hosts_()));
+    return static_cast<double>(count->second) < std::max(1.0, share);
 }
 
 backend_pool::~backend_pool()
@@ -316,6 +356,9 @@
                                                       gateway::attempt_events& events)
 {
     auto it = take_idle(target.backend);
+    if (!it && !has_room(target)) {
+        return std::make_unique<no_attempt>(*this, events);
+    }
     if (!it) {
         it = std::make_unique<connection>(*this, target);
         it->open();
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -6,6 +6,7 @@
 #include "hickorypost/net/tcp_stream.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,6 +22,10 @@
     /// Part of the backend server's own idle timeout after which a connection is not used again: a
     /// request that meets the close on its way may have run, and could not be repeated.
     double idle_part = 0.6;
+    /// Part of a backend server's connection limit that all hosts use together. The rest covers
+    /// hosts that do not know of each other: one connection too many is reset, and a request on it
+    /// may have run.
+    double used_part = 0.8;
     /// Unacknowledged bytes or unanswered probes after which a connection is dead.
     millis silence_limit{2500};
 };
@@ -29,8 +34,9 @@
 /// time; anything unexpected on it closes it, so that no bytes can pass for the next answer.
 class backend_pool final : public gateway::attempt_port {
 public:
+    /// `hosts`: how many share the backend servers' connection limits.
     backend_pool(net::poller& on, gateway::scheduler& timers, clock_fn now,
-                 backend_pool_settings settings);
+                 std::function<std::size_t()> hosts, backend_pool_settings settings);
     ~backend_pool() override;
     backend_pool(const backend_pool&) = delete;
     backend_pool& operator=(const backend_pool&) = delete;
@@ -48,15 +54,20 @@
 private:
     class connection;
     class running;
+    class no_attempt;
 
     void finished(connection* it);
     void drop(connection* it);
     std::unique_ptr<connection> take_idle(const std::string& backend);
+    [[nodiscard]] bool has_room(const gateway::attempt_target& target) const;
 
     net::poller& poller_;
     gateway::scheduler& timers_;
     clock_fn now_;
+    std::function<std::size_t()> hosts_;
     backend_pool_settings settings_;
+    /// Open connections by incarnation. Before the connections, which count themselves out.
+    std::map<std::string, std::size_t> count_;
     std::map<std::string, std::deque<std::unique_ptr<connection>>> idle_; ///< by incarnation
     std::map<connection*, std::unique_ptr<connection>> busy_;
     std::vector<std::unique_ptr<connection>> dropped_; ///< freed at the next turn
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -47,10 +47,12 @@
 } // namespace
 
 gateway_role::gateway_role(runtime& env)
-    : env_{env}, config_{*env.config.gateway}, timers_{env.now},
-      directory_{{}}, balancer_{{}, env.config.node.failure_domain, env.random},
-      rollouts_{env.random, config_.session + longest_request}, models_{{}},
-      pool_{poller_, timers_, env.now, {}}, journal_{env, config_.log_requests_per_second},
+    : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
+      balancer_{{}, env.config.node.failure_domain, env.random}, rollouts_{env.random,
+                                                                           config_.session +
+                                                                               longest_request},
+      models_{{}}, pool_{poller_, timers_, env.now, [this] { return control_->hosts(); }, {}},
+      journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
                 rollouts_,
