[control plane, net] Configurations travel packed; a busy leader is not asked again at once

Cause: on a grown site all hosts lost power with a configuration of 1,281 routes (0.5 MB) in force. 33 hosts asked the leader for the whole state and again each 250 ms; answers queued in its links (64 MB allowed each) faster than 100 Mbit/s carries them, until the process was ended at 164 of 160 MB.

Now: the text is packed (zstd) from its arrival on; the state comes back only if it is newer than the asker's; an order is sent again to a linked leader after 0.6 s only; loads are left out on a congested link; written bytes are given back while a link still lags (they were kept until it ran empty: 8.2 MB held for 8 KB pending in the test, before).

--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -25,7 +25,7 @@
 /// What operators were told is accepted: the newest configuration and the roll-outs.
 struct site_state {
     std::uint64_t config_version = 0;
-    std::string config_text;                        ///< byte for byte as it came, for reading back
+    std::string config_packed;                      ///< byte for byte as it came, packed
     std::map<std::string, rollout_status> rollouts; ///< by service
     std::uint64_t revision = 0;                     ///< rises with each change
 };
@@ -36,7 +36,7 @@
 struct control_command {
     control_kind kind = control_kind::put_config;
     std::uint64_t config_version = 0;
-    std::string config_text;
+    std::string config_packed;
     rollout_status rollout;
 };
 
@@ -46,7 +46,8 @@
 public:
     /// The answer is always "ok": a change that came too late is acknowledged without effect.
     std::string apply(const replog::entry& command) override;
-    /// Gives the whole encoded `site_state`, whatever the query.
+    /// `query`: an encoded `wire::site_query`. Gives the whole encoded `site_state`, or nothing if
+    /// the asker has it already; an unreadable query gets the state.
     [[nodiscard]] std::string read(std::string_view query) const override;
     [[nodiscard]] std::string save() const override;
     void load(std::string_view state) override;
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -2,6 +2,7 @@
 
 #include "hickorypost/replog/types.h"
 #include "hickorypost/wire/codec.h"
+#include "hickorypost/wire/messages.h"
 
 #include <utility>
 
@@ -37,7 +38,7 @@
         return false;
     }
     state_.config_version = command.config_version;
-    state_.config_text = std::move(command.config_text);
+    state_.config_packed = std::move(command.config_packed);
     return true;
 }
 
@@ -63,9 +64,10 @@
     return true;
 }
 
-std::string control_state::read(std::string_view) const
+std::string control_state::read(std::string_view query) const
 {
-    return save();
+    const auto asked = wire::try_decode<wire::site_query>(query);
+    return asked && asked->have_revision >= state_.revision ? std::string{} : save();
 }
 
 std::string control_state::save() const
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -159,14 +159,14 @@
     put(it, 5, "five");
     put(it, 5, "another five");
     put(it, 3, "three");
-    BOOST_TEST(it.state().config_text == "five");
+    BOOST_TEST(it.state().config_packed == "five");
     const auto revision = it.state().revision;
     put(it, 9, "nine");
-    BOOST_TEST(it.state().config_text == "nine");
+    BOOST_TEST(it.state().config_packed == "nine");
     BOOST_TEST(it.state().revision > revision);
     control_state loaded;
     loaded.load(it.save());
-    BOOST_TEST(loaded.state().config_text == "nine");
+    BOOST_TEST(loaded.state().config_packed == "nine");
     BOOST_TEST(loaded.state().config_version == 9U);
 }
 
--- a/modules/net/include/hickorypost/net/link.h
+++ b/modules/net/include/hickorypost/net/link.h
@@ -2,6 +2,7 @@
 
 #include "hickorypost/base/time.h"
 #include "hickorypost/net/gobject_ptr.h"
+#include "hickorypost/net/out_buffer.h"
 #include "hickorypost/net/timer.h"
 #include "hickorypost/wire/codec.h"
 #include "hickorypost/wire/frame.h"
@@ -61,7 +62,7 @@
 
     [[nodiscard]] bool is_up() const noexcept { return up_ && !closed_; }
     [[nodiscard]] const wire::hello& peer() const noexcept { return peer_; }
-    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return out_.size() - written_; }
+    [[nodiscard]] std::size_t unsent_bytes() const noexcept { return out_.size(); }
     [[nodiscard]] const link_counters& counters() const noexcept { return counters_; }
 
 private:
@@ -85,8 +86,7 @@
     link_options options_;
     link_hooks hooks_;
     wire::frame_reader reader_;
-    std::string out_;
-    std::size_t written_ = 0;
+    out_buffer out_;
     std::string scratch_;
     gsource_ptr input_source_;
     gsource_ptr output_source_;
--- /dev/null
+++ b/modules/net/include/hickorypost/net/out_buffer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace hickorypost::net {
+
+/// Bytes on their way to a socket. What has been written is given back to the allocator also while
+/// the rest waits: a peer that always lags a little would otherwise hold all that was ever sent to
+/// it, and the process would end at its memory limit.
+class out_buffer {
+public:
+    void push(std::string_view bytes) { bytes_.append(bytes); }
+    /// For writers that append in place.
+    [[nodiscard]] std::string& tail() noexcept { return bytes_; }
+    [[nodiscard]] std::string_view pending() const noexcept
+    {
+        return std::string_view{bytes_}.substr(written_);
+    }
+    [[nodiscard]] std::size_t size() const noexcept { return bytes_.size() - written_; }
+    [[nodiscard]] bool empty() const noexcept { return size() == 0; }
+    /// The first `n` pending bytes have been written.
+    void consume(std::size_t n)
+    {
+        written_ += n;
+        if (written_ == bytes_.size()) {
+            clear();
+        } else if (written_ >= least_given_back && written_ >= size()) {
+            bytes_.erase(0, written_);
+            written_ = 0;
+        }
+    }
+    void clear() noexcept
+    {
+        bytes_.clear();
+        written_ = 0;
+    }
+    /// Bytes kept in memory, written ones included.
+    [[nodiscard]] std::size_t held() const noexcept { return bytes_.size(); }
+
+private:
+    /// Moving the rest to the front costs less than the system call that wrote as much as this.
+    static constexpr std::size_t least_given_back = std::size_t{16} << 10U;
+
+    std::string bytes_;
+    std::size_t written_ = 0;
+};
+
+} // namespace hickorypost::net
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hickorypost/base/result.h"
+#include "hickorypost/net/out_buffer.h"
 #include "hickorypost/net/poller.h"
 
 #include <cstdint>
@@ -58,7 +59,7 @@
     /// Stops or resumes taking bytes; ends are noticed all the same.
     void set_reading(bool on);
 
-    [[nodiscard]] std::size_t unsent() const noexcept { return out_.size() - written_; }
+    [[nodiscard]] std::size_t unsent() const noexcept { return out_.size(); }
     /// Some bytes were handed to the kernel, so the peer may have read them.
     [[nodiscard]] bool sent_any() const noexcept { return sent_any_; }
     [[nodiscard]] bool open() const noexcept { return fd_ >= 0; }
@@ -80,8 +81,7 @@
     int fd_;
     hooks hooks_;
     hooks retired_; ///< replaced hooks, one of which may be running
-    std::string out_;
-    std::size_t written_ = 0;
+    out_buffer out_;
     bool connected_;
     bool reading_ = true;
     bool readable_ = false;
--- a/modules/net/src/link.cpp
+++ b/modules/net/src/link.cpp
@@ -45,7 +45,7 @@
     if (closed_) {
         return;
     }
-    wire::append_frame(out_, static_cast<std::uint16_t>(type), body);
+    wire::append_frame(out_.tail(), static_cast<std::uint16_t>(type), body);
     ++counters_.frames_sent;
     counters_.bytes_sent += body.size() + wire::frame_header_bytes;
     sent_since_beat_ = true;
@@ -62,12 +62,12 @@
 void link::flush()
 {
     const auto keep = shared_from_this();
-    while (!closed_ && written_ < out_.size()) {
+    while (!closed_ && !out_.empty()) {
         GError* raw = nullptr;
-        const gssize n = g_pollable_output_stream_write_nonblocking(
-            output_, out_.data() + written_, out_.size() - written_, nullptr, &raw);
+        const gssize n = g_pollable_output_stream_write_nonblocking(output_, out_.pending().data(),
+                                                                    out_.size(), nullptr, &raw);
         if (n >= 0) {
-            written_ += static_cast<std::size_t>(n);
+            out_.consume(static_cast<std::size_t>(n));
             continue;
         }
         const gerror_ptr error{raw};
@@ -82,8 +82,6 @@
         watch_output();
         return;
     }
-    out_.clear();
-    written_ = 0;
     output_source_.reset();
 }
 
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -129,7 +129,7 @@
     if (fd_ < 0) {
         return;
     }
-    out_.append(bytes);
+    out_.push(bytes);
     if (connected_ && !blocked_) {
         poller_->flush_later(*this);
     }
@@ -145,11 +145,11 @@
 
 void tcp_stream::write_out()
 {
-    while (fd_ >= 0 && connected_ && written_ < out_.size()) {
-        const ssize_t n = send(fd_, out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+    while (fd_ >= 0 && connected_ && !out_.empty()) {
+        const ssize_t n = send(fd_, out_.pending().data(), out_.size(), MSG_NOSIGNAL);
         if (n > 0) {
             sent_any_ = true;
-            written_ += static_cast<std::size_t>(n);
+            out_.consume(static_cast<std::size_t>(n));
             continue;
         }
         if (n < 0 && errno == EINTR) {
@@ -159,13 +159,11 @@
         if (!blocked_) {
             // The reading side tells how the stream ended; unsent bytes have nowhere to go.
             out_.clear();
-            written_ = 0;
         }
         return;
     }
     const bool had_to_wait = std::exchange(blocked_, false);
     out_.clear();
-    written_ = 0;
     if (had_to_wait && hooks_.drained) {
         hooks_.drained();
     }
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -268,7 +268,8 @@
 {
     if (!has_disk_) {
         auto own = balancer_.own_loads();
-        if (!attached_to_.empty() && !(own.empty() && sent_loads_.empty())) {
+        if (!attached_to_.empty() && !(own.empty() && sent_loads_.empty()) &&
+            !mesh_.congested(attached_to_.front())) {
             // To the first only: the hosts with a disk add up what they get.
             mesh_.send(attached_to_.front(), encode_loads(own));
         }
@@ -279,6 +280,9 @@
     const auto report = encode_loads(subtotal);
     const auto total = encode_loads(sum_loads(true));
     for (const auto& host : mesh_.linked()) {
+        if (mesh_.congested(host)) {
+            continue; // the next report says it all again
+        }
         if (mesh_.is_core(host)) {
             if (!report.loads.empty()) {
                 mesh_.send(host, report);
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -1,5 +1,6 @@
 #include "gateway/control_calls.h"
 
+#include "hickorypost/base/packing.h"
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
 #include "hickorypost/telemetry/event_line.h"
@@ -27,6 +28,15 @@
     answer(to, status, platform::encode_error(why));
 }
 
+void answer_config(gateway::caller_port& to, const gateway::site_state& state)
+{
+    if (auto text = unpack(state.config_packed)) {
+        answer(to, status_ok, std::move(*text));
+    } else {
+        refuse(to, status_unavailable, "the stored configuration cannot be unpacked");
+    }
+}
+
 /// Runs `body`, which decodes; what it cannot read is refused with the place named.
 template <class Body>
 void decode_or_refuse(runtime& env, const incoming_request& request, std::string_view what,
@@ -116,7 +126,7 @@
         gateway::control_command command;
         command.kind = gateway::control_kind::put_config;
         command.config_version = config.version;
-        command.config_text = std::move(request.body);
+        command.config_packed = pack(request.body);
         control_.commit(command, [this, to = request.answer,
                                   version = config.version](control_plane::order_status status,
                                                             const gateway::site_state*) {
@@ -135,15 +145,18 @@
 
 void control_calls::get_config(const incoming_request& request)
 {
-    control_.read_newest([to = request.answer](control_plane::order_status status,
-                                               const gateway::site_state* state) {
+    control_.read_newest([this, to = request.answer](control_plane::order_status status,
+                                                     const gateway::site_state* state) {
         if (status != control_plane::order_status::done || state == nullptr) {
-            refuse(*to, status_unavailable,
-                   "the newest configuration cannot be confirmed just now");
-        } else if (state->config_version == 0 && state->config_text.empty()) {
+            constexpr std::string_view why =
+                "the newest configuration cannot be confirmed just now";
+            env_.log->warn("reading of the configuration refused: {}", why);
+            refuse(*to, status_unavailable, why);
+        } else if (state->config_version == 0 && state->config_packed.empty()) {
             refuse(*to, status_not_found, "no configuration yet");
         } else {
-            answer(*to, status_ok, state->config_text);
+            env_.log->info("configuration {} read", state->config_version);
+            answer_config(*to, *state);
         }
     });
 }
--- a/src/gateway/control_orders.cpp
+++ b/src/gateway/control_orders.cpp
@@ -5,20 +5,11 @@
 
 #include "hickorypost/wire/codec.h"
 
+#include <limits>
 #include <utility>
 
 namespace hickorypost {
 
-namespace {
-
-/// The operator moves on to another host after a second without an answer.
-constexpr millis order_limit{900};
-constexpr millis order_resend{250};
-/// An order that went astray is noticed at the next turn after this.
-constexpr millis leader_change_pause{50};
-
-} // namespace
-
 void control_plane::ask_newest()
 {
     asking_newest_ = true;
@@ -47,25 +38,26 @@
 
 void control_plane::read_newest(order_fn done)
 {
-    submit(wire::order_kind::read, {}, std::move(done));
+    // The state itself comes back only if it is newer than what is held here.
+    submit(wire::order_kind::read, wire::encode(wire::site_query{state_.revision}),
+           std::move(done));
 }
 
 void control_plane::submit(wire::order_kind kind, std::string command, order_fn done)
 {
     const std::uint64_t id = next_order_++;
-    auto& it = orders_[id];
-    it.message = {id, kind, std::move(command)};
-    it.done = std::move(done);
-    it.since = now_();
+    auto& it = orders_
+                   .emplace(id, pending_order{{id, kind, std::move(command)},
+                                              std::move(done),
+                                              gateway::order_progress{now_()}})
+                   .first->second;
     send_order(it);
 }
 
 void control_plane::send_order(pending_order& it)
 {
-    it.asked = now_();
-    ++it.tries;
     if (leads()) {
-        it.asked_host = mesh_.self();
+        it.progress.sent_to(mesh_.self(), now_());
         run_here(it.message.kind, it.message.command,
                  [this, id = it.message.id](const replog::group_answer& answer) {
                      handle_reply({id,
@@ -77,7 +69,7 @@
         return;
     }
     if (!leader_.empty() && mesh_.send(leader_, it.message)) {
-        it.asked_host = leader_;
+        it.progress.sent_to(leader_, now_());
         return;
     }
     // Nobody says who leads: ask the hosts with a disk in turn.
@@ -87,17 +79,16 @@
             core.push_back(host);
         }
     }
-    if (!core.empty()) {
-        it.asked_host = core[it.tries % core.size()];
-        mesh_.send(it.asked_host, it.message);
-    }
+    const node_id to = core.empty() ? node_id{} : core[it.progress.tries() % core.size()];
+    it.progress.sent_to(to, now_());
+    mesh_.send(to, it.message);
 }
 
 void control_plane::run_here(wire::order_kind kind, std::string command,
                              replog::group::answer_fn done)
 {
     if (kind == wire::order_kind::read) {
-        group_->read_confirmed({}, now_(), std::move(done));
+        group_->read_confirmed(command, now_(), std::move(done));
         return;
     }
     const auto it = wire::try_decode<gateway::control_command>(command);
@@ -105,8 +96,10 @@
                       it->config_version <= state_.config_version;
     if (late) {
         // It changes nothing. That the stored version is not lower is confirmed without an entry,
-        // or each repeat would fill the log with the whole configuration.
-        group_->read_confirmed({}, now_(), std::move(done));
+        // or each repeat would fill the log with the whole configuration. Nobody wants the state.
+        constexpr auto any_revision = std::numeric_limits<std::uint64_t>::max();
+        group_->read_confirmed(wire::encode(wire::site_query{any_revision}), now_(),
+                               std::move(done));
         return;
     }
     group_->propose(std::move(command), env_.wall(), now_(), std::move(done));
@@ -140,6 +133,7 @@
         if (msg.status == wire::reply_status::not_leader && !msg.leader.empty() && !group_) {
             leader_ = msg.leader;
         }
+        found->second.progress.refused();
         return; // `retry_orders` asks again
     }
     auto it = std::move(found->second);
@@ -148,6 +142,10 @@
         it.done(order_status::done, nullptr);
         return;
     }
+    if (msg.state.empty()) {
+        it.done(order_status::done, &state_); // confirmed: what is held here is the newest
+        return;
+    }
     const auto state = wire::try_decode<gateway::site_state>(msg.state);
     if (!state) {
         env_.log->error("state from host {} cannot be read", msg.leader);
@@ -162,7 +160,7 @@
     const instant now = now_();
     std::vector<order_fn> expired;
     for (auto it = orders_.begin(); it != orders_.end();) {
-        if (now > it->second.since + order_limit) {
+        if (it->second.progress.expired(now)) {
             expired.push_back(std::move(it->second.done));
             it = orders_.erase(it);
             continue;
@@ -171,9 +169,7 @@
     }
     std::vector<std::uint64_t> due;
     for (const auto& [id, it] : orders_) {
-        const bool leader_changed = !leader_.empty() && it.asked_host != leader_;
-        if (now > it.asked + order_resend ||
-            (leader_changed && now > it.asked + leader_change_pause)) {
+        if (it.progress.ask_again(leader_, now)) {
             due.push_back(id);
         }
     }
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -26,7 +26,10 @@
 constexpr std::size_t retained_entries = 64;
 constexpr std::uint64_t snapshot_every = 64;
 constexpr millis note_period{1000};
-constexpr millis query_period{300};
+/// The same state is asked for again after this long: its answer was lost with a link, or its
+/// sender does not have it any more. Asked for at each host's note, it would come several times
+/// over.
+constexpr millis query_period{400};
 /// With nobody to ask, a host serves with what it knows after this long: requests must not stop for
 /// a control log that has lost its quorum.
 constexpr millis ask_limit{4000};
@@ -355,8 +358,10 @@
         leader_term_ = msg.term;
     }
     const instant now = now_();
-    if (msg.revision > state_.revision && (now > query_due_ || from == leader_)) {
+    if (msg.revision > std::max(state_.revision, queried_revision_) ||
+        (msg.revision > state_.revision && now > query_due_)) {
         query_due_ = now + query_period;
+        queried_revision_ = msg.revision;
         mesh_.send(from, wire::site_query{state_.revision});
     }
 }
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/control_state.h"
+#include "hickorypost/gateway/order_progress.h"
 #include "hickorypost/gateway/rollout_judge.h"
 #include "hickorypost/net/timer.h"
 #include "hickorypost/replog/group.h"
@@ -65,10 +66,7 @@
     struct pending_order {
         wire::order message;
         order_fn done;
-        instant since;
-        instant asked;
-        std::size_t tries = 0;
-        node_id asked_host;
+        gateway::order_progress progress;
     };
 
     // The replica on this host's disk.
@@ -125,6 +123,7 @@
     std::map<node_id, wire::core_note> notes_;
     std::size_t hosts_told_ = 1;
     instant query_due_;
+    std::uint64_t queried_revision_ = 0; ///< the highest that was asked for
 
     std::map<std::uint64_t, pending_order> orders_;
     std::uint64_t next_order_ = 1;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_role.h"
 
+#include "hickorypost/base/packing.h"
 #include "hickorypost/platform/caller_codec.h"
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
@@ -240,12 +241,17 @@
 {
     rollouts_.follow(state.rollouts, env_.now());
     feed_->spread_pins(rollouts_.take_pinned(env_.now()));
-    if (state.config_text.empty() || (table_ && state.config_version <= table_->config().version)) {
+    if (state.config_packed.empty() ||
+        (table_ && state.config_version <= table_->config().version)) {
         return;
     }
     const bool good = value_or_handle<platform::body_error>(
         [&]() -> result<bool> {
-            BOOST_LEAF_AUTO(config, platform::decode_config(state.config_text));
+            const auto text = unpack(state.config_packed);
+            if (!text) {
+                return leaf::new_error(platform::body_error{{}, "damaged packing"});
+            }
+            BOOST_LEAF_AUTO(config, platform::decode_config(*text));
             table_ = std::make_shared<const gateway::route_table>(std::move(config));
             return true;
         },
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -11,6 +11,12 @@
 constexpr millis longest_redial{400};
 /// Ten times the longest way between failure domains; a host that is up answers well within it.
 constexpr millis dial_limit{300};
+/// What may wait for a peer that reads slowly before its link is given up: several of the largest
+/// bodies that operators may send (4 MB). A host of 88 MB with 30 links must survive all of them.
+constexpr std::size_t most_unsent_bytes = std::size_t{16} << 20U;
+/// More than this waiting, a link takes nothing that is soon out of date: a tenth of a second of a
+/// link of 10 Mbit/s.
+constexpr std::size_t congested_bytes = std::size_t{128} << 10U;
 
 } // namespace
 
@@ -49,6 +55,7 @@
     net::link_options out;
     out.heartbeat = link_heartbeat;
     out.silence_limit = link_silence;
+    out.max_unsent_bytes = most_unsent_bytes;
     return out;
 }
 
@@ -143,6 +150,12 @@
     return nullptr;
 }
 
+bool peer_mesh::congested(const node_id& to) const
+{
+    const auto* const up = link_to(to);
+    return up != nullptr && up->unsent_bytes() > congested_bytes;
+}
+
 std::vector<node_id> peer_mesh::linked() const
 {
     std::set<node_id> out;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -50,6 +50,8 @@
     }
 
     [[nodiscard]] net::link* link_to(const node_id& to) const;
+    /// So much waits for that host that a message which is soon out of date is better left out.
+    [[nodiscard]] bool congested(const node_id& to) const;
     /// Hosts with a disk, this one included if it has one.
     [[nodiscard]] const std::map<node_id, std::string>& core() const noexcept { return core_; }
     /// All hosts that a link is up to.
