[callers] An answer larger than the socket's buffer is sent whole before its connection closes

Cause: a caller who wants its connection closed got only what the socket took at once; the rest was dropped with the connection. Ruled out: leader, quorum, revision (all hosts confirmed the revision 10 s before).

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -46,6 +46,8 @@
     hooks.drained = [this] {
         if (exchange_) {
             exchange_->caller_drained();
+        } else if (sending_rest_) {
+            answered();
         }
     };
     hooks.ended = [this](net::stream_end) { gone(); };
@@ -226,12 +228,11 @@
     }
     const auto keep = shared_from_this();
     exchange_.reset();
-    busy_ = false;
     if (!keep_alive_ || closed_) {
-        close();
-        server_.remove(this);
+        close_when_sent();
         return;
     }
+    busy_ = false;
     parser_.set_limits(limits_of(server_.options_.limits()));
     parser_.next();
     if (parser_.begun()) {
@@ -241,6 +242,26 @@
     }
 }
 
+void caller_connection::close_when_sent()
+{
+    // An answer larger than the socket's buffer is still on its way here: closed now, the caller
+    // would get its beginning only, as with a whole configuration read over a slow link.
+    if (!closed_ && stream_->unsent() > 0) {
+        sending_rest_ = true;
+        server_.timers_.cancel(timer_);
+        timer_ = server_.timers_.add(server_.now_() + silence_limit, [this] {
+            timer_ = 0;
+            const auto keep = shared_from_this();
+            close();
+            server_.remove(this);
+        });
+        return;
+    }
+    busy_ = false;
+    close();
+    server_.remove(this);
+}
+
 void caller_connection::gone()
 {
     const auto keep = shared_from_this();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -44,6 +44,7 @@
     void answered();
     void arm_timer();
     void time_passed();
+    void close_when_sent();
     void gone();
 
     caller_server& server_;
@@ -58,7 +59,8 @@
     bool bodyless_ = false;  ///< the answer to HEAD has no body
     bool turn_over_ = false; ///< the answer is complete; `flush` clears up
     bool closed_ = false;
-    bool head_timer_ = false; ///< the timer bounds a request that has begun
+    bool sending_rest_ = false; ///< answered; the connection closes once its bytes are out
+    bool head_timer_ = false;   ///< the timer bounds a request that has begun
 };
 
 } // namespace hickorypost
