[feed, balancer] Work on backend servers is told within milliseconds of a change that matters

Cause: sums of work went round every 100 ms in two hops. On a grown site 1,919 of 18,023 first events came more than 300 ms later than their sender expected; all but 98 of them had waited behind a long prompt that another host had sent within the last 300 ms. Ruled out: running streams, slots, slow backend servers.

Now: each change of a sum by 15 ms of reading or 3 requests is told at once, at most 100 times a second a link, only what changed, and each host gets the sums without its own part. A whole report each second. The load feed is a class of its own, beside the decision class load_table.

--- a/bench/balancer_bench.cpp
+++ b/bench/balancer_bench.cpp
@@ -2,6 +2,7 @@
 /// run.
 
 #include "hickorypost/gateway/load_balancer.h"
+#include "hickorypost/gateway/load_table.h"
 
 #include <chrono>
 #include <cstdio>
@@ -32,12 +33,9 @@
 
 double micros_per_choice(const fleet& it, std::size_t processes, bool by_cost)
 {
-    load_balancer balancer{{}, "d", seeded_random_fn(1)};
+    load_balancer balancer{{}, "d", seeded_random_fn(1), [](const auto&, const auto&) {}};
     const auto random = seeded_random_fn(2);
-    std::map<std::string, remote_load> report;
-    for (const auto* backend : it.all) {
-        report[backend->record.id] = {3, 20};
-    }
+    load_table table{{}};
     job_size job;
     job.prompt_tokens = 6000;
     job.model = "m";
@@ -46,7 +44,9 @@
         const instant now = start + micros{static_cast<std::int64_t>(n * 2000)};
         if (n % 50 == 0) {
             for (std::size_t p = 0; p < processes; ++p) {
-                balancer.take_remote("p" + std::to_string(p), report, now);
+                const auto& backend = it.all[(n + p) % it.all.size()]->record.id;
+                table.set("p" + std::to_string(p), backend, {3, 20});
+                balancer.set_others(backend, table.without("self", backend));
             }
         }
         job.parts = {{n % 90, 5000}, {1000 + n, 1000}};
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -3,6 +3,7 @@
 #include "hickorypost/base/time.h"
 #include "hickorypost/gateway/backend_directory.h"
 
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -27,7 +28,7 @@
     std::vector<prompt_part> parts; ///< leading parts first
 };
 
-/// Work that other processes have on a backend server, from their last reports.
+/// Work on a backend server, as processes tell each other.
 struct remote_load {
     double requests = 0;
     double reading_ms = 0; ///< time to read the prompts of requests without a first event
@@ -77,7 +78,11 @@
 /// that share parts meet on the same engine without any message, by rendezvous hashing. Sans I/O.
 class load_balancer {
 public:
-    load_balancer(balancer_settings settings, std::string own_domain, random_fn random);
+    /// `changed` hears of each change of this process' own work on a backend server.
+    using changed_fn = std::function<void(const std::string& backend, const remote_load& own)>;
+
+    load_balancer(balancer_settings settings, std::string own_domain, random_fn random,
+                  changed_fn changed);
 
     struct ticket {
         std::string backend;
@@ -95,8 +100,8 @@
     void first_answer(ticket& it, instant now);
     void ended(ticket& it, attempt_result how, instant now);
 
-    void take_remote(const std::string& process, std::map<std::string, remote_load> loads,
-                     instant now);
+    /// The work of all other processes on a backend server.
+    void set_others(const std::string& backend, const remote_load& others);
     /// Own work by backend server, for other processes.
     [[nodiscard]] std::map<std::string, remote_load> own_loads() const;
     void forget(const std::string& backend);
@@ -105,7 +110,7 @@
     struct backend_load {
         double requests = 0;
         double reading_ms = 0;
-        remote_load others; ///< all other processes' work, as last added up
+        remote_load others; ///< all other processes' work
         double failure_ratio = 0;
         double service_ms = 0; ///< running mean; 0: none yet
         std::uint32_t misses = 0;
@@ -113,11 +118,6 @@
         instant full_until;
         std::unordered_map<std::uint64_t, instant> parts; ///< by part and model
     };
-    struct remote_report {
-        std::map<std::string, remote_load> loads;
-        instant taken;
-    };
-
     /// A candidate with what is known of it.
     struct option {
         const backend_entry* entry = nullptr;
@@ -129,7 +129,6 @@
         double service_ms = 0; ///< of one that was not measured yet
     };
 
-    void refresh_others(instant now);
     void set_options(std::span<const backend_entry* const> candidates);
     void set_part_keys(const job_size& job);
     /// The candidate on which prompts with these parts meet; null if there are none.
@@ -146,8 +145,7 @@
     std::string own_domain_;
     random_fn random_;
     std::unordered_map<std::string, backend_load> loads_;
-    std::map<std::string, remote_report> remote_;
-    instant others_due_;
+    changed_fn changed_;
     std::vector<option> options_;          ///< of the choice being made
     std::vector<std::uint64_t> part_keys_; ///< of the shared parts of its prompt
 };
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// A report older than this says nothing any more: its sender may be gone.
-constexpr millis remote_report_life{2000};
-/// Others' reports are added up again this often, however many choices are made.
-constexpr millis others_period{50};
 /// How sure it is that an engine keeps a part whose home it is by hashing, though this process has
 /// not sent it there: others have, unless the part is used less often than engines forget.
 constexpr double home_trust = 0.9;
@@ -40,31 +36,13 @@
 
 } // namespace
 
-load_balancer::load_balancer(balancer_settings settings, std::string own_domain, random_fn random)
-    : settings_{settings}, own_domain_{std::move(own_domain)}, random_{std::move(random)}
+load_balancer::load_balancer(balancer_settings settings, std::string own_domain, random_fn random,
+                             changed_fn changed)
+    : settings_{settings},
+      own_domain_{std::move(own_domain)}, random_{std::move(random)}, changed_{std::move(changed)}
 {
 }
 
-void load_balancer::refresh_others(instant now)
-{
-    if (now < others_due_) {
-        return;
-    }
-    others_due_ = now + others_period;
-    for (auto& [id, load] : loads_) {
-        load.others = {};
-    }
-    std::erase_if(remote_,
-                  [&](const auto& it) { return now > it.second.taken + remote_report_life; });
-    for (const auto& [process, report] : remote_) {
-        for (const auto& [id, it] : report.loads) {
-            auto& others = loads_[id].others;
-            others.requests += it.requests;
-            others.reading_ms += it.reading_ms;
-        }
-    }
-}
-
 void load_balancer::set_options(std::span<const backend_entry* const> candidates)
 {
     options_.clear();
@@ -172,7 +150,6 @@
                                            const job_size& job, std::span<const std::string> tried,
                                            instant now)
 {
-    refresh_others(now);
     set_options(candidates);
     set_part_keys(job);
     const auto* const at_home = home();
@@ -213,6 +190,7 @@
     load.requests += 1;
     const double reading = reading_ms(job, cached);
     load.reading_ms += reading;
+    changed_(on.record.id, {load.requests, load.reading_ms});
     if (load.probation_until > now) {
         load.probation_until = now + settings_.longest_probation; // one try at a time
     }
@@ -227,6 +205,7 @@
     it.first_seen = true;
     backend_load& load = loads_[it.backend];
     load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
+    changed_(it.backend, {load.requests, load.reading_ms});
     load.misses = 0;
     load.probation_until = {};
     if (!it.streaming) {
@@ -244,6 +223,7 @@
     if (!it.first_seen) {
         load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     }
+    changed_(it.backend, {load.requests, load.reading_ms});
     const auto learn = [&](double failed) {
         load.failure_ratio += settings_.failure_weight * (failed - load.failure_ratio);
     };
@@ -269,11 +249,9 @@
     }
 }
 
-void load_balancer::take_remote(const std::string& process,
-                                std::map<std::string, remote_load> loads, instant now)
+void load_balancer::set_others(const std::string& backend, const remote_load& others)
 {
-    remote_[process] = {std::move(loads), now};
-    others_due_ = std::min(others_due_, now + others_period);
+    loads_[backend].others = others;
 }
 
 std::map<std::string, remote_load> load_balancer::own_loads() const
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -78,7 +78,7 @@
     testing::fake_backends backends;
     testing::fake_caller caller;
     backend_directory directory{{}};
-    load_balancer balancer{{}, "d", seeded_random_fn(5)};
+    load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
     rollout_view rollouts{seeded_random_fn(6), millis{10'000}};
     model_choice models{{}};
     std::map<std::string, retry_window> windows;
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -200,7 +200,7 @@
     const auto all = directory.usable("app", start);
     std::map<std::string, int> chosen;
     for (std::uint64_t process = 0; process < 240; ++process) {
-        load_balancer it{{}, "d", seeded_random_fn(process)};
+        load_balancer it{{}, "d", seeded_random_fn(process), [](const auto&, const auto&) {}};
         ++chosen[it.choose(all, {}, {}, start)->record.id];
     }
     for (const auto* it : all) {
@@ -217,7 +217,7 @@
         directory.take(record(id, std::string{id} + ":1", 1), start);
     }
     const auto all = directory.usable("app", start);
-    load_balancer it{{}, "d", seeded_random_fn(3)};
+    load_balancer it{{}, "d", seeded_random_fn(3), [](const auto&, const auto&) {}};
     std::map<std::string, int> chosen;
     instant now = start;
     for (int n = 0; n < 400; ++n) {
@@ -254,13 +254,13 @@
     job.parts = {{77, 5000}, {1, 1000}};
     std::set<std::string> homes;
     for (std::uint64_t process = 0; process < 20; ++process) {
-        load_balancer it{{}, "d", seeded_random_fn(process)};
+        load_balancer it{{}, "d", seeded_random_fn(process), [](const auto&, const auto&) {}};
         job.parts.back().id = process;
         homes.insert(it.choose(all, job, {}, start)->record.id);
     }
     BOOST_TEST(homes.size() == 1U);
-    load_balancer busy{{}, "d", seeded_random_fn(1)};
-    busy.take_remote("p", {{*homes.begin(), {60, 3000}}}, start);
+    load_balancer busy{{}, "d", seeded_random_fn(1), [](const auto&, const auto&) {}};
+    busy.set_others(*homes.begin(), {60, 3000});
     BOOST_TEST(busy.choose(all, job, {}, start)->record.id != *homes.begin());
 }
 
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -402,10 +402,11 @@
     double reading_ms = 0; ///< time to read the prompts of requests without a first event
 };
 
-/// From an attached host: its own work. To it: that of all hosts together.
+/// From an attached host: its own work. To it: that of all others together.
 struct load_report {
     static constexpr auto type = message_type::load_report;
     std::vector<backend_load> loads;
+    bool whole = false; ///< there is no work but this; otherwise only what has changed is told
 };
 
 struct version_row {
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -9,42 +9,21 @@
 
 namespace {
 
-/// Loads are spread this often. A long prompt occupies an engine for a tenth of a second to two;
-/// others must hear of it before they send theirs there.
+/// Turn of the feed: attachments, heartbeats to be passed on, whole reports of work.
 constexpr millis turn_period{100};
 /// Heartbeats without news are gathered for this many turns.
 constexpr std::uint64_t turns_per_touch = 5;
-/// A host's loads count for this long without a new report.
-constexpr millis load_life{1500};
 constexpr millis expire_period{2000};
 /// Hosts with a disk that another host is attached to. With one, word of a backend server's leaving
 /// would be lost while a new one is sought: it must be known everywhere within two seconds.
-constexpr std::size_t attachments = 2;
-
-void add_to(std::map<std::string, gateway::remote_load>& sum,
-            const std::map<std::string, gateway::remote_load>& part)
-{
-    for (const auto& [id, it] : part) {
-        sum[id].requests += it.requests;
-        sum[id].reading_ms += it.reading_ms;
-    }
-}
-
-wire::load_report encode_loads(const std::map<std::string, gateway::remote_load>& loads)
-{
-    wire::load_report out;
-    for (const auto& [id, it] : loads) {
-        out.loads.push_back({id, it.requests, it.reading_ms});
-    }
-    return out;
-}
+constexpr std::size_t wanted_attachments = 2;
 
 } // namespace
 
 backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
                            gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks)
-    : env_{env}, mesh_{mesh},
-      directory_{directory}, balancer_{balancer}, has_disk_{has_disk}, hooks_{std::move(hooks)}
+    : env_{env}, mesh_{mesh}, directory_{directory}, has_disk_{has_disk}, hooks_{std::move(hooks)},
+      loads_{env, mesh, balancer, has_disk, around_}
 {
 }
 
@@ -58,11 +37,11 @@
     std::vector<node_id> out;
     if (!has_disk_) {
         // What came from elsewhere came by way of the core, which has told everyone.
-        return from == mesh_.self() ? attached_to_ : out;
+        return from == mesh_.self() ? around_.to_here : out;
     }
     const bool from_core = from != mesh_.self() && mesh_.is_core(from);
     for (const auto& host : mesh_.linked()) {
-        const bool wanted = attached_.contains(host) || (mesh_.is_core(host) && !from_core);
+        const bool wanted = around_.from_here.contains(host) || (mesh_.is_core(host) && !from_core);
         if (wanted && host != from) {
             out.push_back(host);
         }
@@ -154,7 +133,7 @@
     std::sort(found.rbegin(), found.rend());
     std::vector<node_id> out;
     for (const auto& [order, host] : found) {
-        if (out.size() < attachments) {
+        if (out.size() < wanted_attachments) {
             out.push_back(host);
         }
     }
@@ -167,20 +146,22 @@
         return;
     }
     const auto best = best_attachments();
-    for (const auto& host : attached_to_) {
+    for (const auto& host : around_.to_here) {
         if (std::find(best.begin(), best.end(), host) == best.end()) {
             env_.log->info("no longer attached to host {}", host);
             mesh_.send(host, wire::attach{false});
         }
     }
     for (const auto& host : best) {
-        if (std::find(attached_to_.begin(), attached_to_.end(), host) == attached_to_.end()) {
+        if (std::find(around_.to_here.begin(), around_.to_here.end(), host) ==
+            around_.to_here.end()) {
             env_.log->info("attached to host {}", host);
             mesh_.send(host, wire::attach{true});
             send_all(host);
         }
     }
-    attached_to_ = best;
+    around_.to_here = best;
+    loads_.follow_attachments();
 }
 
 void backend_feed::on_link_up(const node_id& host)
@@ -193,9 +174,9 @@
 
 void backend_feed::on_link_down(const node_id& host)
 {
-    attached_.erase(host);
-    loads_.erase(host);
-    std::erase(attached_to_, host);
+    around_.from_here.erase(host);
+    loads_.on_host_gone(host);
+    std::erase(around_.to_here, host);
     choose_attachments();
 }
 
@@ -204,9 +185,11 @@
     switch (type) {
     case wire::message_type::attach:
         if (const auto it = wire::try_decode<wire::attach>(body)) {
-            attached_.erase(from);
+            around_.from_here.erase(from);
+            loads_.on_host_gone(from);
             if (it->on) {
-                attached_.insert(from);
+                loads_.owe_whole(from);
+                around_.from_here.insert(from);
                 send_all(from);
             }
         }
@@ -224,7 +207,7 @@
         return true;
     case wire::message_type::load_report:
         if (const auto it = wire::try_decode<wire::load_report>(body)) {
-            take_loads(from, *it);
+            loads_.take_report(from, *it);
         }
         return true;
     default:
@@ -245,77 +228,11 @@
         // it back, which changes nothing.
         spread(update, mesh_.self());
     }
-    send_loads();
+    loads_.tick();
     if (const instant now = env_.now(); now >= expire_due_) {
         expire_due_ = now + expire_period;
         directory_.expire(now);
     }
 }
 
-backend_feed::load_map backend_feed::sum_loads(bool with_core) const
-{
-    load_map out = balancer_.own_loads();
-    const instant now = env_.now();
-    for (const auto& [host, it] : loads_) {
-        if (now < it.taken + load_life && (with_core || !mesh_.is_core(host))) {
-            add_to(out, it.loads);
-        }
-    }
-    return out;
-}
-
-void backend_feed::send_loads()
-{
-    if (!has_disk_) {
-        auto own = balancer_.own_loads();
-        if (!attached_to_.empty() && !(own.empty() && sent_loads_.empty()) &&
-            !mesh_.congested(attached_to_.front())) {
-            // To the first only: the hosts with a disk add up what they get.
-            mesh_.send(attached_to_.front(), encode_loads(own));
-        }
-        sent_loads_ = std::move(own);
-        return;
-    }
-    const auto subtotal = sum_loads(false);
-    const auto report = encode_loads(subtotal);
-    const auto total = encode_loads(sum_loads(true));
-    for (const auto& host : mesh_.linked()) {
-        if (mesh_.congested(host)) {
-            continue; // the next report says it all again
-        }
-        if (mesh_.is_core(host)) {
-            if (!report.loads.empty()) {
-                mesh_.send(host, report);
-            }
-        } else if (attached_.contains(host) && !total.loads.empty()) {
-            mesh_.send(host, total);
-        }
-    }
-}
-
-void backend_feed::take_loads(const node_id& from, const wire::load_report& report)
-{
-    load_map loads;
-    for (const auto& it : report.loads) {
-        loads[it.id] = {it.requests, it.reading_ms};
-    }
-    const instant now = env_.now();
-    if (has_disk_) {
-        loads_[from] = {loads, now};
-        balancer_.take_remote(from, std::move(loads), now);
-        return;
-    }
-    if (attached_to_.empty() || from != attached_to_.front()) {
-        return;
-    }
-    // The total holds what this host reported last.
-    for (const auto& [id, own] : sent_loads_) {
-        if (const auto it = loads.find(id); it != loads.end()) {
-            it->second.requests = std::max(0.0, it->second.requests - own.requests);
-            it->second.reading_ms = std::max(0.0, it->second.reading_ms - own.reading_ms);
-        }
-    }
-    balancer_.take_remote("total", std::move(loads), now);
-}
-
 } // namespace hickorypost
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/load_feed.h"
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/backend_directory.h"
 #include "hickorypost/gateway/load_balancer.h"
@@ -19,15 +20,16 @@
     std::function<void(const std::vector<std::uint64_t>& sessions)> pins;
 };
 
-/// Spreads what one host learns of backend servers to all others, and sums up who has how much work
-/// where. Hosts with a disk exchange it among themselves; each other host is attached to one of
-/// them, so its messages stay as many however many hosts there are.
+/// Spreads what one host learns of backend servers to all others. Hosts with a disk exchange it
+/// among themselves; each other host is attached to one of them, so its messages stay as many
+/// however many hosts there are.
 class backend_feed {
 public:
     backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
                  gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks);
 
     void start();
+    load_feed& loads() noexcept { return loads_; }
     /// A heartbeat, or word of leaving, that a backend server brought to this host.
     void take_heartbeat(const gateway::backend_record& record);
     /// Tells all hosts of sessions that stay on their old version.
@@ -38,12 +40,6 @@
     bool on_message(const node_id& from, wire::message_type type, std::string_view body);
 
 private:
-    struct load_entry {
-        std::map<std::string, gateway::remote_load> loads;
-        instant taken;
-    };
-    using load_map = std::map<std::string, gateway::remote_load>;
-
     void apply(const gateway::backend_record& record);
     /// Hosts that a message must go to next: `from` has it already.
     [[nodiscard]] std::vector<node_id> targets(const node_id& from) const;
@@ -59,21 +55,15 @@
     void choose_attachments();
     [[nodiscard]] std::vector<node_id> best_attachments() const;
     void tick();
-    void send_loads();
-    void take_loads(const node_id& from, const wire::load_report& report);
-    [[nodiscard]] load_map sum_loads(bool with_core) const;
 
     runtime& env_;
     peer_mesh& mesh_;
     gateway::backend_directory& directory_;
-    gateway::load_balancer& balancer_;
     bool has_disk_;
     feed_hooks hooks_;
     std::map<std::string, std::uint64_t> touches_; ///< that wait to be spread, by incarnation
-    std::set<node_id> attached_;                   ///< hosts that get updates from this one
-    std::vector<node_id> attached_to_;             ///< where this host gets them from, best first
-    std::map<node_id, load_entry> loads_;
-    load_map sent_loads_;
+    attachments around_;
+    load_feed loads_;
     instant expire_due_;
     std::uint64_t turn_ = 0;
     net::timer timer_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -49,10 +49,16 @@
 
 gateway_role::gateway_role(runtime& env)
     : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
-      balancer_{{}, env.config.node.failure_domain, env.random}, rollouts_{env.random,
-                                                                           config_.session +
-                                                                               longest_request},
-      models_{{}}, pool_{poller_, timers_, env.now, [this] { return control_->hosts(); }, {}},
+      balancer_{{},
+                env.config.node.failure_domain,
+                env.random,
+                [this](const std::string& backend, const gateway::remote_load& own) {
+                    if (feed_) {
+                        feed_->loads().own_changed(backend, own);
+                    }
+                }},
+      rollouts_{env.random, config_.session + longest_request}, models_{{}},
+      pool_{poller_, timers_, env.now, [this] { return control_->hosts(); }, {}},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
