[feed] Heartbeats that a host without a disk takes reach all hosts

Cause: such a host threw away the heartbeats that it had taken itself whenever an update came from elsewhere, before its turn to tell them. Ruled out: scale_in (4 gone), roll-outs (rolled back by then), hanging runs. Besides, two hosts with a disk echoed each other's heartbeats for ever.

Test: a backend server that beats at the host without a disk only; after 7 s it got no more work through another host before, and does now.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -60,7 +60,7 @@
     enum class change : std::uint8_t { none, touched, changed };
     /// Takes a heartbeat; one that is older than what is known changes nothing.
     change take(const backend_record& record, instant now);
-    /// Takes a heartbeat without its content: the incarnation lives. False if it is not known.
+    /// Takes a heartbeat without its content: the incarnation lives. True if that is news.
     bool touch(std::string_view id, std::uint64_t sequence, instant now);
     /// The incarnation has left, or was seen not to be at its address any more.
     bool remove(std::string_view id, instant now);
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -57,15 +57,13 @@
 bool backend_directory::touch(std::string_view id, std::uint64_t sequence, instant now)
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end()) {
-        return tombstones_.contains(id);
+    if (found == entries_.end() || sequence <= found->second.record.sequence) {
+        return false;
     }
     backend_entry& it = found->second;
-    if (sequence > it.record.sequence) {
-        it.record.sequence = sequence;
-        it.heard = now;
-        claim_address(it);
-    }
+    it.record.sequence = sequence;
+    it.heard = now;
+    claim_address(it);
     return true;
 }
 
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -95,11 +95,11 @@
         }
     }
     for (const auto& it : update.touches) {
-        directory_.touch(it.id, it.sequence, now);
-        touches_[it.id] = std::max(touches_[it.id], it.sequence);
-    }
-    if (!has_disk_) {
-        touches_.clear();
+        // Only news goes on from here, or two hosts with a disk would tell each other the same for
+        // ever. A host without one has nobody to tell; what waits in `touches_` there it took itself.
+        if (directory_.touch(it.id, it.sequence, now) && has_disk_) {
+            touches_[it.id] = it.sequence;
+        }
     }
     if (!news.records.empty()) {
         spread(news, from);
