--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -49,6 +49,7 @@
     instant heard;         ///< last heartbeat, or other sign of life
     bool replaced = false; ///< another incarnation has registered at its address since
     std::uint32_t beats_since_replaced = 0;
+    bool silent = false; ///< as `expire` last saw it
 };
 
 /// The backend servers of all services, by incarnation, sequence and address. Soft state that each
@@ -64,7 +65,14 @@
     bool touch(std::string_view id, std::uint64_t sequence, instant now);
     /// The incarnation has left, or was seen not to be at its address any more.
     bool remove(std::string_view id, instant now);
-    void expire(instant now);
+    /// One that has fallen silent, or was heard of again.
+    struct hearing {
+        std::string id;
+        bool silent = false;
+    };
+    /// Forgets what is long silent. Gives those whose silence began or ended since the last call.
+    std::vector<hearing> expire(instant now);
+    [[nodiscard]] std::size_t silent() const noexcept;
 
     [[nodiscard]] const backend_entry* find(std::string_view id) const;
     /// Incarnations that may get new work, those heard of recently first choice.
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -82,12 +82,17 @@
     return true;
 }
 
-void backend_directory::expire(instant now)
+std::vector<backend_directory::hearing> backend_directory::expire(instant now)
 {
+    std::vector<hearing> out;
     std::erase_if(tombstones_,
                   [&](const auto& it) { return now > it.second + settings_.tombstone; });
     for (auto it = entries_.begin(); it != entries_.end();) {
         if (now <= it->second.heard + settings_.forget_after) {
+            if (const bool silent = stale(it->second, now); silent != it->second.silent) {
+                it->second.silent = silent;
+                out.push_back({it->first, silent});
+            }
             ++it;
             continue;
         }
@@ -97,6 +102,13 @@
         }
         it = entries_.erase(it);
     }
+    return out;
+}
+
+std::size_t backend_directory::silent() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(),
+                                                  [](const auto& it) { return it.second.silent; }));
 }
 
 const backend_entry* backend_directory::find(std::string_view id) const
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -208,6 +208,24 @@
     }
 }
 
+// On-call engineers must see from one host's log that it has lost sight of a backend server that
+// others still hear of, and when that ended.
+BOOST_AUTO_TEST_CASE(silence_of_a_backend_server_is_told_when_it_begins_and_ends)
+{
+    backend_directory it{{}};
+    it.take(record("b", "h:1", 1), start);
+    BOOST_TEST(it.expire(start + millis{5000}).empty());
+    const auto lost = it.expire(start + millis{6001});
+    BOOST_REQUIRE(lost.size() == 1U);
+    BOOST_TEST(lost.front().silent);
+    BOOST_TEST(it.silent() == 1U);
+    BOOST_TEST(it.expire(start + millis{7000}).empty());
+    it.touch("b", 2, start + millis{7500});
+    const auto found = it.expire(start + millis{8000});
+    BOOST_REQUIRE(found.size() == 1U);
+    BOOST_TEST(!found.front().silent);
+}
+
 // One backend server refuses connections, another fails half of its requests. Work leaves both
 // after the first signs, and the first is tried again later.
 BOOST_AUTO_TEST_CASE(bad_backend_servers_are_left_early_and_tried_again)
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -96,7 +96,8 @@
     }
     for (const auto& it : update.touches) {
         // Only news goes on from here, or two hosts with a disk would tell each other the same for
-        // ever. A host without one has nobody to tell; what waits in `touches_` there it took itself.
+        // ever. A host without one has nobody to tell; what waits in `touches_` there it took
+        // itself.
         if (directory_.touch(it.id, it.sequence, now) && has_disk_) {
             touches_[it.id] = it.sequence;
         }
@@ -231,7 +232,11 @@
     loads_.tick();
     if (const instant now = env_.now(); now >= expire_due_) {
         expire_due_ = now + expire_period;
-        directory_.expire(now);
+        for (const auto& it : directory_.expire(now)) {
+            env_.log->info("backend server {} {}", it.id,
+                           it.silent ? "is silent: used only where no other is left"
+                                     : "is heard of again");
+        }
     }
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -337,6 +337,7 @@
     to.set("config_version", table_ ? static_cast<double>(table_->config().version) : 0);
     to.set("ready", ready() ? 1 : 0);
     to.set("backends_known", static_cast<double>(directory_.size()));
+    to.set("backends_silent", static_cast<double>(directory_.silent()));
     to.set("backend_connections{state=\"idle\"}", static_cast<double>(pool_.idle()));
     to.set("backend_connections{state=\"busy\"}", static_cast<double>(pool_.busy()));
     to.set("backend_connections_opened", static_cast<double>(pool_.opened()));
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -39,6 +39,15 @@
     std::optional<int> code_;
 };
 
+/// What a relay does to the connections that it forwards, open and new ones.
+enum class relay_fault : std::uint8_t {
+    none,
+    delay,    ///< each turn takes 60 ms longer
+    one_way,  ///< nothing comes back any more; what is sent arrives
+    silence,  ///< nothing arrives, and nothing is closed
+    reset_all ///< open connections are closed once; new ones work
+};
+
 /// Forwards connections to a port; can lose track of those that are open while new ones work.
 class relay {
 public:
@@ -49,6 +58,8 @@
 
     /// From now on the open connections deliver nothing more, without being closed.
     void lose_open_connections();
+    /// From now on; what was held back is delivered when the fault ends.
+    void set_fault(relay_fault fault);
 
 private:
     struct state;
--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int poll_ms = 20;
+constexpr int delay_ms = 60;
 
 sockaddr_in loopback(std::uint16_t port)
 {
@@ -36,6 +37,7 @@
     std::uint16_t to = 0;
     std::vector<pair> pairs;
     std::atomic<bool> lose{false};
+    std::atomic<relay_fault> fault{relay_fault::none};
     std::jthread thread;
 
     static bool forward(int from, int to)
@@ -56,6 +58,21 @@
         return n > 0;
     }
 
+    /// Direction held back: nothing is read, and the peer's end is not passed on.
+    static bool pass(const pollfd& ready, int from, int to)
+    {
+        return ready.events == 0 || ready.revents == 0 || forward(from, to);
+    }
+
+    void close_all()
+    {
+        for (const auto& it : pairs) {
+            ::close(it.a);
+            ::close(it.b);
+        }
+        pairs.clear();
+    }
+
     void accept_one()
     {
         const int a = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -78,11 +95,21 @@
                     it.lost = true;
                 }
             }
+            const relay_fault now = fault;
+            if (now == relay_fault::reset_all) {
+                fault = relay_fault::none;
+                close_all();
+            }
+            if (now == relay_fault::delay) {
+                ::poll(nullptr, 0, delay_ms);
+            }
             std::vector<pollfd> fds{{listener, POLLIN, 0}};
             for (const auto& it : pairs) {
-                const short wanted = it.lost ? 0 : POLLIN;
-                fds.push_back({it.a, wanted, 0});
-                fds.push_back({it.b, wanted, 0});
+                const bool held = it.lost || now == relay_fault::silence;
+                const short there = held ? 0 : POLLIN;
+                const short back = held || now == relay_fault::one_way ? 0 : POLLIN;
+                fds.push_back({it.a, there, 0});
+                fds.push_back({it.b, back, 0});
             }
             ::poll(fds.data(), fds.size(), poll_ms);
             for (std::size_t n = 0; n < pairs.size(); ++n) {
@@ -90,8 +117,8 @@
                 if (it.lost || it.a < 0) {
                     continue;
                 }
-                const bool good = (fds[1 + 2 * n].revents == 0 || forward(it.a, it.b)) &&
-                                  (fds[2 + 2 * n].revents == 0 || forward(it.b, it.a));
+                const bool good =
+                    pass(fds[1 + 2 * n], it.a, it.b) && pass(fds[2 + 2 * n], it.b, it.a);
                 if (!good) {
                     ::close(it.a);
                     ::close(it.b);
@@ -103,10 +130,7 @@
             }
             std::erase_if(pairs, [](const auto& it) { return it.a < 0; });
         }
-        for (const auto& it : pairs) {
-            ::close(it.a);
-            ::close(it.b);
-        }
+        close_all();
         ::close(listener);
     }
 };
@@ -129,6 +153,11 @@
 
 relay::~relay() = default;
 
+void relay::set_fault(relay_fault fault)
+{
+    state_->fault = fault;
+}
+
 void relay::lose_open_connections()
 {
     state_->lose = true;
