--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -13,6 +13,9 @@
     /// An answer of which its model is less sure than this is asked for again of a larger one,
     /// while engines answer quickly.
     double calm_confidence = 0.5;
+    /// The same where a middle model is likely to be sure enough, which costs half as much. Under
+    /// pressure it falls to `calm_confidence`.
+    double middle_confidence = 0.6;
     /// The same when they are slow. A larger model takes several times an engine's time: asked for
     /// as often as in calm times it makes everybody late.
     double pressed_confidence = 0.3;
@@ -48,12 +51,16 @@
                   double larger_confidence);
     /// A first event came `part` of the route's target after the request.
     void saw_first(double part);
-    /// The confidence that an answer needs now.
+    /// The confidence that an answer needs now, or the largest model is asked.
     [[nodiscard]] double least_confidence() const;
+    /// The same where a middle model may do.
+    [[nodiscard]] double least_before_middle() const;
     /// How much slower a model is than the middle one, from what the operators say it costs.
     [[nodiscard]] static double pace(const engine_spec& engine, const std::string& model);
 
 private:
+    /// 0 while first events come quickly, 1 when they are slow.
+    [[nodiscard]] double pressure() const;
     /// How sure `larger` is likely to be of a request of which `smaller` was sure by `confidence`.
     [[nodiscard]] double expected(const std::string& smaller, double confidence,
                                   const std::string& larger) const;
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -1,6 +1,7 @@
 #include "hickorypost/gateway/model_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickorypost::gateway {
 
@@ -24,10 +25,11 @@
     const std::size_t largest = route.models.empty() ? 0 : route.models.size() - 1;
     const auto wanted = static_cast<double>(route.target_latency.count());
     const bool time = static_cast<double>(left.count()) >= wanted * settings_.least_targets_left;
-    if (confidence >= settings_.calm_confidence || rank >= largest || !time) {
+    if (rank >= largest || !time) {
         return rank;
     }
-    for (std::size_t next = rank + 1; next < largest; ++next) {
+    for (std::size_t next = rank + 1; confidence < least_before_middle() && next < largest;
+         ++next) {
         if (expected(route.models[rank], confidence, route.models[next]) >=
             settings_.calm_confidence) {
             return next;
@@ -59,12 +61,20 @@
     first_part_ += settings_.weight * (part - first_part_);
 }
 
-double model_choice::least_confidence() const
+double model_choice::pressure() const
 {
     const double span = settings_.pressed_part - settings_.calm_part;
-    const double pressure = std::clamp((first_part_ - settings_.calm_part) / span, 0.0, 1.0);
-    return settings_.calm_confidence +
-           pressure * (settings_.pressed_confidence - settings_.calm_confidence);
+    return std::clamp((first_part_ - settings_.calm_part) / span, 0.0, 1.0);
+}
+
+double model_choice::least_confidence() const
+{
+    return std::lerp(settings_.calm_confidence, settings_.pressed_confidence, pressure());
+}
+
+double model_choice::least_before_middle() const
+{
+    return std::lerp(settings_.middle_confidence, settings_.calm_confidence, pressure());
 }
 
 double model_choice::pace(const engine_spec& engine, const std::string& model)
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -28,6 +28,19 @@
 {
     const model_choice it{{}};
     BOOST_TEST(it.after(route_of_three(), small, 0.6, plenty) == small);
+    BOOST_TEST(it.after(route_of_three(), middle, 0.5, plenty) == middle);
+}
+
+// A model that is sure by little more than half is wrong now and then. Another that is a little
+// better costs little while engines are quick; when they are slow it makes others late.
+BOOST_AUTO_TEST_CASE(a_barely_sure_answer_goes_to_the_middle_model_while_engines_are_quick)
+{
+    model_choice it{{}};
+    BOOST_TEST(it.after(route_of_three(), small, 0.55, plenty) == middle);
+    for (int n = 0; n < 200; ++n) {
+        it.saw_first(0.9);
+    }
+    BOOST_TEST(it.after(route_of_three(), small, 0.55, plenty) == small);
 }
 
 // Requests of all difficulties come. Those that the smallest model nearly answers well are the
