--- a/modules/base/include/hickorypost/base/packing.h
+++ b/modules/base/include/hickorypost/base/packing.h
@@ -8,9 +8,8 @@
 
 namespace hickorypost {
 
-/// Packs `text` (zstd, its fastest ordinary level). A configuration of 1,300 routes shrinks to
-/// about a fifteenth in 2 ms, which a link of 10 Mbit/s takes a third of a second to carry
-/// unpacked.
+/// Packs `text` (zstd, its fastest ordinary level). A configuration of 1,281 routes (377 KB)
+/// shrinks to 22 KB in a millisecond (`zstd -b1`); unpacked it holds a link of 10 Mbit/s for 0.3 s.
 std::string pack(std::string_view text);
 
 /// The text again. Bytes that were never packed come back as they are: logs written before texts
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -4,7 +4,6 @@
 #include "hickorypost/gateway/backend_directory.h"
 
 #include <functional>
-#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -102,8 +101,6 @@
 
     /// The work of all other processes on a backend server.
     void set_others(const std::string& backend, const remote_load& others);
-    /// Own work by backend server, for other processes.
-    [[nodiscard]] std::map<std::string, remote_load> own_loads() const;
     void forget(const std::string& backend);
 
 private:
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -254,17 +254,6 @@
     loads_[backend].others = others;
 }
 
-std::map<std::string, remote_load> load_balancer::own_loads() const
-{
-    std::map<std::string, remote_load> out;
-    for (const auto& [id, it] : loads_) {
-        if (it.requests > 0) {
-            out[id] = {it.requests, it.reading_ms};
-        }
-    }
-    return out;
-}
-
 void load_balancer::forget(const std::string& backend)
 {
     loads_.erase(backend);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -360,9 +360,13 @@
             wait(20, 200);
             all_.site.host(host).signal(SIGTERM);
         }
-        if (!all_.site.host(host).wait(milliseconds{9000})) {
+        const auto code = all_.site.host(host).wait(milliseconds{9000});
+        if (!code) {
             all_.broken("host " + std::to_string(host) + " still runs 9 s after SIGTERM");
             all_.site.kill_host(host);
+        } else if (*code != 0) {
+            all_.broken("host " + std::to_string(host) + " ended with " + std::to_string(*code) +
+                        " after SIGTERM");
         }
         all_.site.write_settings(host, {0, 1, 2}, false);
         all_.site.start_host(host);
