--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <getopt.h>
+#include <string>
 
 using namespace hickorypost::testing;
 
@@ -43,9 +44,9 @@
     bool good = true;
     for (std::uint64_t n = 0; n < runs; ++n) {
         const auto result = run_soak({seed + n, std::chrono::seconds{seconds}});
-        std::printf("%4llu  %6zu  %8zu  %6zu  %7zu  %6zu  %7zu  %6zu\n",
-                    static_cast<unsigned long long>(seed + n), result.faults.size(),
-                    result.requests, result.served, result.refused, result.failed, result.configs,
+        std::printf("%4s  %6zu  %8zu  %6zu  %7zu  %6zu  %7zu  %6zu\n",
+                    std::to_string(seed + n).c_str(), result.faults.size(), result.requests,
+                    result.served, result.refused, result.failed, result.configs,
                     result.broken.size());
         for (const auto& it : result.broken) {
             std::printf("  BROKEN %s\n", it.c_str());
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -423,7 +423,7 @@
     std::string replace_one()
     {
         const std::size_t n = random_() % backends_.size();
-        const std::string old = backends_[n];
+        std::string old = backends_[n];
         const bool streaming = old.find("llm") != std::string::npos;
         backends_[n] = old.substr(0, old.find('.')) + "." + std::to_string(++successors_);
         all_.site.add_relayed_backend({.id = backends_[n],
