[feed] Heartbeats that wait to be told are a decision class with its own tests

The rule is now sans I/O in heartbeat_relay, with three cases that need no clock; the process test stays beside them. No behaviour changes; the process test passes.

--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -23,7 +23,7 @@
 backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
                            gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks)
     : env_{env}, mesh_{mesh}, directory_{directory}, has_disk_{has_disk}, hooks_{std::move(hooks)},
-      loads_{env, mesh, balancer, has_disk, around_}
+      relay_{has_disk}, loads_{env, mesh, balancer, has_disk, around_}
 {
 }
 
@@ -56,7 +56,7 @@
         apply(record);
         spread(wire::backend_update{{wire::encode(record)}, {}}, mesh_.self());
     } else if (change == gateway::backend_directory::change::touched) {
-        touches_[record.id] = record.sequence;
+        relay_.took(record.id, record.sequence);
     }
 }
 
@@ -95,12 +95,7 @@
         }
     }
     for (const auto& it : update.touches) {
-        // Only news goes on from here, or two hosts with a disk would tell each other the same for
-        // ever. A host without one has nobody to tell; what waits in `touches_` there it took
-        // itself.
-        if (directory_.touch(it.id, it.sequence, now) && has_disk_) {
-            touches_[it.id] = it.sequence;
-        }
+        relay_.heard(it.id, it.sequence, directory_.touch(it.id, it.sequence, now));
     }
     if (!news.records.empty()) {
         spread(news, from);
@@ -219,15 +214,16 @@
 void backend_feed::tick()
 {
     choose_attachments();
-    if (++turn_ % turns_per_touch == 0 && !touches_.empty()) {
+    if (++turn_ % turns_per_touch == 0) {
         wire::backend_update update;
-        for (const auto& [id, sequence] : touches_) {
+        for (const auto& [id, sequence] : relay_.take()) {
             update.touches.push_back({id, sequence});
         }
-        touches_.clear();
         // Touches of the core's own and of attached hosts are mixed here; a host that sent one gets
         // it back, which changes nothing.
-        spread(update, mesh_.self());
+        if (!update.touches.empty()) {
+            spread(update, mesh_.self());
+        }
     }
     loads_.tick();
     if (const instant now = env_.now(); now >= expire_due_) {
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -3,6 +3,7 @@
 #include "gateway/load_feed.h"
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/heartbeat_relay.h"
 #include "hickorypost/gateway/load_balancer.h"
 #include "hickorypost/net/timer.h"
 
@@ -61,7 +62,7 @@
     gateway::backend_directory& directory_;
     bool has_disk_;
     feed_hooks hooks_;
-    std::map<std::string, std::uint64_t> touches_; ///< that wait to be spread, by incarnation
+    gateway::heartbeat_relay relay_;
     attachments around_;
     load_feed loads_;
     instant expire_due_;
