[directory] A backend server that starts again under its name is a new one at once

Cause: the time of a start was read nowhere. A backend server that crashed and came back under its id had low sequence numbers, so its heartbeats read as late ones; it stayed unused for as long as it had run before, or for 600 s after it had left, and requests on dead connections waited for their silence to be noticed.

An incarnation is now name and start. Of one name only the newest start counts, in whatever order heartbeats, departures and news of other hosts come; connections to the start before end like those of a crash. Word of leaving that names no start is obeyed, and refuted by two heartbeats. Records of foreign writers (missing fields, other types, unknown service, unreadable bytes, numbers out of range) are refused with the field's name, counted in backend_records_refused and logged at most once a second; none takes a known backend server over.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -18,7 +18,7 @@
 /// One incarnation of a backend server as it told about itself. Sent between processes: fields are
 /// only ever appended.
 struct backend_record {
-    std::string id; ///< drawn anew at each start of the backend server
+    std::string id; ///< of this start, see `incarnation_id`
     std::string service;
     std::string address; ///< IP:PORT
     std::string failure_domain;
@@ -26,9 +26,15 @@
     std::uint32_t slots = 1;
     backend_state state = backend_state::ready;
     std::uint64_t cold_ms = 0;  ///< how much longer it is slow after its start
-    std::uint64_t sequence = 0; ///< rises with each heartbeat
+    std::uint64_t sequence = 0; ///< rises with each heartbeat of one incarnation
+    std::string name;           ///< what it goes by at its address; may outlive a restart
+    std::uint64_t born = 0;     ///< Unix milliseconds of its start; 0: it does not say
 };
 
+/// Identity of one start of a backend server. One that says when it began may go by the same name
+/// after a restart, and then knows nothing of before.
+std::string incarnation_id(std::string_view name, std::uint64_t born);
+
 struct directory_settings {
     /// Silence after which a backend server is only used where no other is left. Several
     /// heartbeats: one may come seconds late while its sender serves.
@@ -41,6 +47,9 @@
     /// Heartbeats after which an incarnation that another replaced at its address counts as alive
     /// again. One may be a heartbeat held up on its way, a second is not.
     std::uint32_t beats_to_return = 2;
+    /// The same for one whose leaving was told by its name alone: that may have been a late word of
+    /// the start before.
+    std::uint32_t beats_to_deny_leaving = 2;
 };
 
 /// A backend server in the directory.
@@ -54,6 +63,10 @@
 
 /// The backend servers of all services, by incarnation, sequence and address. Soft state that each
 /// process fills from heartbeats, its own and those that other processes pass on. Sans I/O.
+///
+/// News comes late and in any order, by several ways. Of one name only the newest start counts: a
+/// heartbeat of an older one changes nothing, a newer one replaces it at once with all that was
+/// believed of it.
 class backend_directory {
 public:
     explicit backend_directory(directory_settings settings) : settings_{settings} {}
@@ -65,6 +78,11 @@
     bool touch(std::string_view id, std::uint64_t sequence, instant now);
     /// The incarnation has left, or was seen not to be at its address any more.
     bool remove(std::string_view id, instant now);
+    /// Incarnations that a newer start under their name has replaced since the last call. Nothing
+    /// runs there any more, whatever their connections look like.
+    std::vector<std::string> take_superseded();
+    /// The newest start known under a name; null if none is.
+    [[nodiscard]] const backend_entry* find_named(std::string_view name) const;
     /// One that has fallen silent, or was heard of again.
     struct hearing {
         std::string id;
@@ -87,12 +105,33 @@
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
 private:
+    struct start_mark {
+        std::string id;
+        std::uint64_t born = 0;
+        instant seen;
+    };
+    struct tombstone {
+        instant at;
+        /// Not empty: the leaving was told by this name alone, so that heartbeats can refute it.
+        std::string told_name;
+        std::uint64_t sequence = 0; ///< the newest heartbeat seen
+        std::uint32_t beats = 0;    ///< newer heartbeats since
+    };
+
+    [[nodiscard]] bool has_left(const backend_record& record);
+    /// False: a newer start of that name is known.
+    bool take_start(const backend_record& record, instant now);
+    change take_leaving(const backend_record& record, instant now);
+    bool bury(std::string_view id, tombstone how);
     void claim_address(backend_entry& it);
+    void release_address(const backend_entry& it);
 
     directory_settings settings_;
     std::map<std::string, backend_entry, std::less<>> entries_;
-    std::map<std::string, instant, std::less<>> tombstones_;
+    std::map<std::string, tombstone, std::less<>> tombstones_;
+    std::map<std::string, start_mark, std::less<>> newest_;      ///< by name
     std::map<std::string, std::string, std::less<>> at_address_; ///< address to incarnation
+    std::vector<std::string> superseded_;
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -38,7 +38,7 @@
 
 /// What one attempt tells its backend server besides the caller's request.
 struct attempt_order {
-    std::string backend; ///< incarnation that must be the one that answers
+    std::string backend; ///< name of the one that must answer
     std::string account; ///< empty: the caller is not identified
     millis wait{0};      ///< what is left of the time
     std::string model;   ///< empty: as the caller named it
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -217,7 +217,7 @@
 {
     const instant now = services_.now();
     attempt_order order;
-    order.backend = to.record.id;
+    order.backend = to.record.name;
     order.account = record_.account;
     order.wait = time_left();
     order.model = model_now();
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -52,6 +52,7 @@
 void backend_feed::take_heartbeat(const gateway::backend_record& record)
 {
     const auto change = directory_.take(record, env_.now());
+    drop_superseded();
     if (change == gateway::backend_directory::change::changed) {
         apply(record);
         spread(wire::backend_update{{wire::encode(record)}, {}}, mesh_.self());
@@ -79,6 +80,14 @@
     }
 }
 
+void backend_feed::drop_superseded()
+{
+    for (const auto& id : directory_.take_superseded()) {
+        env_.log->info("backend server {} has started again: the start before is over", id);
+        hooks_.superseded(id);
+    }
+}
+
 void backend_feed::take_update(const node_id& from, const wire::backend_update& update)
 {
     const instant now = env_.now();
@@ -94,6 +103,7 @@
             news.records.push_back(bytes);
         }
     }
+    drop_superseded();
     for (const auto& it : update.touches) {
         relay_.heard(it.id, it.sequence, directory_.touch(it.id, it.sequence, now));
     }
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -16,6 +16,8 @@
 
 struct feed_hooks {
     std::function<void(const std::string& backend)> gone;
+    /// A newer start under its name has replaced this incarnation: nothing runs there any more.
+    std::function<void(const std::string& backend)> superseded;
     /// Whether a host with a disk is in contact with the control log's leader, as far as is known.
     std::function<bool(const node_id& host)> reaches_leader;
     std::function<void(const std::vector<std::uint64_t>& sessions)> pins;
@@ -42,6 +44,7 @@
 
 private:
     void apply(const gateway::backend_record& record);
+    void drop_superseded();
     /// Hosts that a message must go to next: `from` has it already.
     [[nodiscard]] std::vector<node_id> targets(const node_id& from) const;
     template <class M>
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -99,6 +99,8 @@
     }
 
     void leave_rest() { pool_.timers_.cancel(std::exchange(timer_, 0)); }
+    /// Ends the request under way without an answer.
+    void break_off() { fault(fault_now()); }
     [[nodiscard]] const std::string& backend() const noexcept { return target_.backend; }
     [[nodiscard]] bool usable() const noexcept { return stream_ && stream_->open(); }
 
@@ -243,11 +245,16 @@
                 return;
             }
         }
-        if (!stream_->sent_any()) {
-            fault(gateway::attempt_fault::not_sent);
-            return;
+        fault(fault_now());
+    }
+
+    /// What it means for the request that its connection ends now.
+    [[nodiscard]] gateway::attempt_fault fault_now() const
+    {
+        if (!stream_ || !stream_->sent_any()) {
+            return gateway::attempt_fault::not_sent;
         }
-        fault(got_bytes_ ? gateway::attempt_fault::broken : gateway::attempt_fault::silent);
+        return got_bytes_ ? gateway::attempt_fault::broken : gateway::attempt_fault::silent;
     }
 
     backend_pool& pool_;
@@ -429,6 +436,22 @@
     }
 }
 
+void backend_pool::lost(const std::string& backend)
+{
+    forget(backend);
+    std::vector<connection*> open;
+    for (const auto& [raw, it] : busy_) {
+        if (raw->backend() == backend) {
+            open.push_back(raw);
+        }
+    }
+    for (auto* const it : open) {
+        if (busy_.contains(it)) { // else the one before took it along
+            it->break_off();
+        }
+    }
+}
+
 std::size_t backend_pool::idle() const noexcept
 {
     std::size_t out = 0;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -46,6 +46,9 @@
                                             gateway::attempt_events& events) override;
     /// Closes the idle connections of an incarnation that has gone.
     void forget(const std::string& backend);
+    /// An incarnation surely runs no more, though its connections may look whole behind a cut:
+    /// what is under way there ends now, as after a crash, and not when its silence is noticed.
+    void lost(const std::string& backend);
 
     [[nodiscard]] std::size_t idle() const noexcept;
     [[nodiscard]] std::size_t busy() const noexcept { return busy_.size(); }
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_not_allowed = 405;
 constexpr unsigned status_unavailable = 503;
+/// One log line about refused records in this time.
+constexpr millis refusal_log_period{1000};
 
 void answer(gateway::caller_port& to, unsigned status, std::string body)
 {
@@ -81,10 +83,14 @@
            call.known_path ? "method not allowed" : "no such call");
 }
 
-void control_calls::heartbeat(const std::string& id, const incoming_request& request)
+void control_calls::heartbeat(const std::string& name, const incoming_request& request)
 {
-    decode_or_refuse(env_, request, "heartbeat", [&]() -> result<void> {
-        BOOST_LEAF_AUTO(record, platform::decode_heartbeat(id, request.body));
+    const auto taken = [&]() -> result<bool> {
+        BOOST_LEAF_AUTO(record, platform::decode_heartbeat(name, request.body));
+        if (const auto fault = fault_of(record)) {
+            refuse_record(name, request, *fault);
+            return false;
+        }
         // An acknowledgement promises that all hosts in touch will obey. Cut off from the core this
         // host cannot tell them; the backend server then asks another one.
         // Just after a start that promise is made only for backend servers that stay: the hosts
@@ -92,25 +98,66 @@
         const bool stays = record.state == gateway::backend_state::ready && control_.starting();
         if (!control_.connected() && !stays) {
             refuse(*request.answer, status_unavailable, "no contact with the control log");
-            return {};
+            return false;
         }
         feed_.take_heartbeat(record);
         answer(*request.answer, status_ok, "{}");
-        return {};
+        return true;
+    };
+    value_or_handle<platform::body_error>(taken, [&](const platform::body_error& error) {
+        refuse_record(name, request, platform::describe(error));
+        return false;
     });
 }
 
-void control_calls::leave(const std::string& id, const incoming_request& request)
+std::optional<std::string> control_calls::fault_of(const gateway::backend_record& record) const
+{
+    if (!net::endpoint::parse(record.address)) {
+        return "address: expected an IPv4 address and a port";
+    }
+    const auto* const known = directory_.find_named(record.name);
+    if (known == nullptr) {
+        return may_serve_(record.service)
+                   ? std::nullopt
+                   : std::optional<std::string>{"service: not in the configuration"};
+    }
+    if (known->record.born != 0 && record.born == 0) {
+        return "start time: missing, though this backend server has told it before";
+    }
+    if (known->record.born == record.born && known->record.service != record.service) {
+        return "service: another one than this backend server began with";
+    }
+    return std::nullopt;
+}
+
+void control_calls::refuse_record(const std::string& name, const incoming_request& request,
+                                  std::string_view why)
+{
+    env_.metrics.count("backend_records_refused");
+    // A broken writer may send many a second; the metric counts them all.
+    if (const instant now = env_.now(); now >= refusal_logged_ + refusal_log_period) {
+        refusal_logged_ = now;
+        env_.log->warn("record of backend server {} refused: {}", name, why);
+    }
+    refuse(*request.answer, status_bad_request, why);
+}
+
+void control_calls::leave(const std::string& name, const incoming_request& request)
 {
     if (!control_.connected()) {
         refuse(*request.answer, status_unavailable, "no contact with the control log");
         return;
     }
-    gateway::backend_record record;
-    record.id = id;
-    record.state = gateway::backend_state::gone;
-    feed_.take_heartbeat(record);
-    answer(*request.answer, status_ok, "{}");
+    const auto taken = [&]() -> result<bool> {
+        BOOST_LEAF_AUTO(record, platform::decode_leaving(name, request.body));
+        feed_.take_heartbeat(record);
+        answer(*request.answer, status_ok, "{}");
+        return true;
+    };
+    value_or_handle<platform::body_error>(taken, [&](const platform::body_error& error) {
+        refuse_record(name, request, platform::describe(error));
+        return false;
+    });
 }
 
 void control_calls::put_config(incoming_request request)
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -4,21 +4,35 @@
 #include "gateway/caller_server.h"
 #include "gateway/control_plane.h"
 
+#include <functional>
+#include <optional>
+#include <string>
+
 namespace hickorypost {
 
 /// The calls of operators and backend servers: configurations, roll-outs, heartbeats.
 class control_calls {
 public:
-    control_calls(runtime& env, control_plane& control, backend_feed& feed)
-        : env_{env}, control_{control}, feed_{feed}
+    /// `may_serve`: whether the configuration in force names a service, or none is in force yet.
+    control_calls(runtime& env, control_plane& control, backend_feed& feed,
+                  const gateway::backend_directory& directory,
+                  std::function<bool(const std::string& service)> may_serve)
+        : env_{env}, control_{control}, feed_{feed}, directory_{directory}, may_serve_{std::move(
+                                                                                may_serve)}
     {
     }
 
     void handle(incoming_request request);
 
 private:
-    void heartbeat(const std::string& id, const incoming_request& request);
-    void leave(const std::string& id, const incoming_request& request);
+    void heartbeat(const std::string& name, const incoming_request& request);
+    void leave(const std::string& name, const incoming_request& request);
+    /// What is wrong with a record that could be read, as far as this process knows; nothing if it
+    /// may be taken.
+    [[nodiscard]] std::optional<std::string> fault_of(const gateway::backend_record& record) const;
+    /// Refuses what a backend server, or somebody in its name, told.
+    void refuse_record(const std::string& name, const incoming_request& request,
+                       std::string_view why);
     void put_config(incoming_request request);
     void get_config(const incoming_request& request);
     void begin_rollout(const incoming_request& request);
@@ -27,6 +41,9 @@
     runtime& env_;
     control_plane& control_;
     backend_feed& feed_;
+    const gateway::backend_directory& directory_;
+    std::function<bool(const std::string& service)> may_serve_;
+    instant refusal_logged_; ///< the last line about a refused record
 };
 
 } // namespace hickorypost
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -119,6 +119,10 @@
         pool_.forget(backend);
         balancer_.forget(backend);
     };
+    for_feed.superseded = [this](const std::string& backend) {
+        pool_.lost(backend);
+        balancer_.forget(backend);
+    };
     for_feed.reaches_leader = [this](const node_id& host) {
         return control_->reaches_leader(host);
     };
@@ -127,7 +131,10 @@
     };
     feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, balancer_, has_disk,
                                            std::move(for_feed));
-    calls_ = std::make_unique<control_calls>(env_, *control_, *feed_);
+    calls_ = std::make_unique<control_calls>(
+        env_, *control_, *feed_, directory_, [this](const std::string& service) {
+            return !table_ || table_->find_service(service) != nullptr;
+        });
 
     const auto no_way = [](const auto& body) {
         return [body](incoming_request it) -> std::unique_ptr<gateway::exchange> {
