[models] A larger model is asked wherever its answer is likely to come in time

Cause: one whole target had to be left.

What a run takes on a route is now learned by model (run_times: mean and two deviations of first event and rest), and set against the time that is left. The last attempt of a route is not spent on a dropped answer.

Test: a_larger_model_is_asked_where_its_answer_comes_in_time. The case 'without time for another answer the first is kept' asked for one whole target and is replaced by bounds on both sides of what the model was seen to take.

--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/gateway/run_times.h"
 #include "hickorypost/gateway/site_config.h"
 
 #include <cstddef>
@@ -29,8 +30,18 @@
     double first_gain = 0.1;
     /// Weight of the newest pair of answers in the learned gain.
     double gain_weight = 0.05;
-    /// A larger model is asked only if this many times the route's target is left.
-    double least_targets_left = 1.0;
+    /// A larger model that was never seen on a route is taken to need this part of its target.
+    double unseen_part = 0.3;
+};
+
+/// An answer of one of a route's models, of which only the head has come.
+struct model_answer {
+    const route_spec& route;
+    std::size_t rank = 0;  ///< of its model, 0 for the smallest
+    double confidence = 0; ///< 0 to 1
+    millis left{0};        ///< of the request's time
+    /// Attempts that the route still allows. One is kept for an engine that breaks off.
+    std::uint32_t attempts_left = 2;
 };
 
 /// Which of a route's models answers a request that leaves the choice to the gateway.
@@ -40,12 +51,12 @@
 
     /// Rank of the model to begin with, 0 for the smallest.
     [[nodiscard]] std::size_t first(const route_spec& route) const;
-    /// Rank of the model to go on with after an answer of `rank` with that confidence; the same
-    /// rank if the answer will do or no larger model can help in the time that is left. A model
-    /// between is chosen where it is likely to be sure enough: it takes a fraction of the largest
-    /// one's engine time and cost.
-    [[nodiscard]] std::size_t after(const route_spec& route, std::size_t rank, double confidence,
-                                    millis left) const;
+    /// Rank of the model to go on with; the same rank if the answer will do or no larger model can
+    /// help in the time that is left. A model between is chosen where it is likely to be sure
+    /// enough: it takes a fraction of the largest one's engine time and cost.
+    [[nodiscard]] std::size_t after(const model_answer& answer) const;
+    /// What runs took on each route, by model.
+    [[nodiscard]] run_times& times() noexcept { return times_; }
     /// Two models answered the same request: how sure each was.
     void saw_pair(const std::string& smaller, double smaller_confidence, const std::string& larger,
                   double larger_confidence);
@@ -65,7 +76,11 @@
     [[nodiscard]] double expected(const std::string& smaller, double confidence,
                                   const std::string& larger) const;
 
+    /// Whether an answer of that model is likely to be whole in the time that is left.
+    [[nodiscard]] bool in_time(const model_answer& answer, std::size_t rank) const;
+
     model_choice_settings settings_;
+    run_times times_{{}};
     std::map<std::pair<std::string, std::string>, double> gains_; ///< by smaller and larger model
     double first_part_ = 0;                                       ///< running mean of `saw_first`
 };
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -233,6 +233,8 @@
     record_.model = job.model;
     ++record_.attempts;
     attempt_began_ = now;
+    attempt_first_ = {};
+    attempt_is_whole_ = !order.last_event_id;
     send_counted_ = false;
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::waiting;
     events_.restart();
@@ -338,6 +340,10 @@
     if (running) {
         // Silence up to the deadline: what was sent there may have run.
         may_have_run_ = true;
+        if (request_.any_model && stage_ != stage::relaying) {
+            services_.models.times().saw_none(route_.name, model_now(),
+                                              services_.now() - attempt_began_);
+        }
         end_attempt(attempt_result::dropped);
     }
     if (stage_ == stage::relaying) {
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -90,7 +90,9 @@
         judged_model_ = model;
         judged_confidence_ = *answer.confidence;
     }
-    const auto rank = services_.models.after(route_, model_rank_, *answer.confidence, time_left());
+    const std::uint32_t left = route_.max_attempts - std::min(sends_, route_.max_attempts);
+    const auto rank =
+        services_.models.after({route_, model_rank_, *answer.confidence, time_left(), left});
     if (rank == model_rank_ || !repeat_allowed()) {
         return false;
     }
@@ -174,6 +176,9 @@
         record_.longest_gap = std::max(record_.longest_gap, now - last_event_);
     }
     last_event_ = now;
+    if (attempt_first_ == instant{}) {
+        attempt_first_ = now;
+    }
     services_.balancer.first_answer(*ticket_, now);
     caller_.piece(whole);
     if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
@@ -199,6 +204,7 @@
     }
     end_attempt(attempt_result::answered);
     if (stage_ == stage::relaying) {
+        note_run();
         caller_.end();
         finish(exchange_outcome::answered, head_.status, {});
         return;
@@ -206,6 +212,15 @@
     deliver_held();
 }
 
+void exchange::note_run()
+{
+    if (!request_.any_model || attempt_first_ == instant{} || !attempt_is_whole_) {
+        return;
+    }
+    services_.models.times().saw(route_.name, model_now(), attempt_first_ - attempt_began_,
+                                 services_.now() - attempt_first_);
+}
+
 void exchange::deliver_held()
 {
     head_.fields.remove_hop_by_hop();
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -19,23 +19,31 @@
     return 0;
 }
 
-std::size_t model_choice::after(const route_spec& route, std::size_t rank, double confidence,
-                                millis left) const
+std::size_t model_choice::after(const model_answer& answer) const
 {
-    const std::size_t largest = route.models.empty() ? 0 : route.models.size() - 1;
-    const auto wanted = static_cast<double>(route.target_latency.count());
-    const bool time = static_cast<double>(left.count()) >= wanted * settings_.least_targets_left;
-    if (rank >= largest || !time) {
-        return rank;
+    const auto& models = answer.route.models;
+    const std::size_t largest = models.empty() ? 0 : models.size() - 1;
+    if (answer.rank >= largest || answer.attempts_left == 0) {
+        return answer.rank;
     }
-    for (std::size_t next = rank + 1; confidence < least_before_middle() && next < largest;
+    const double confidence = answer.confidence;
+    for (std::size_t next = answer.rank + 1; confidence < least_before_middle() && next < largest;
          ++next) {
-        if (expected(route.models[rank], confidence, route.models[next]) >=
-            settings_.calm_confidence) {
+        const double likely = expected(models[answer.rank], confidence, models[next]);
+        if (likely >= settings_.calm_confidence && in_time(answer, next)) {
             return next;
         }
     }
-    return confidence >= least_confidence() ? rank : largest;
+    return confidence < least_confidence() && in_time(answer, largest) ? largest : answer.rank;
+}
+
+bool model_choice::in_time(const model_answer& answer, std::size_t rank) const
+{
+    const auto& route = answer.route;
+    const auto known = times_.estimate(route.name, route.models[rank]);
+    const auto unseen = millis{static_cast<std::int64_t>(
+        settings_.unseen_part * static_cast<double>(route.target_latency.count()))};
+    return answer.left >= known.value_or(unseen);
 }
 
 double model_choice::expected(const std::string& smaller, double confidence,
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -15,11 +15,27 @@
 route_spec route_of_three()
 {
     route_spec out;
+    out.name = "r";
     out.models = {"small", "middle", "large"};
     out.target_latency = millis{1000};
     return out;
 }
 
+/// The rank to go on with after an answer on the route of three.
+std::size_t after(const model_choice& it, std::size_t rank, double confidence, millis left = plenty,
+                  std::uint32_t attempts_left = 2)
+{
+    static const route_spec route = route_of_three();
+    return it.after({route, rank, confidence, left, attempts_left});
+}
+
+void learn_times(model_choice& it, const std::string& model, millis first, millis rest)
+{
+    for (int n = 0; n < 50; ++n) {
+        it.times().saw("r", model, first, rest);
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(model_choice_suite)
@@ -27,8 +43,8 @@
 BOOST_AUTO_TEST_CASE(an_answer_that_its_model_is_sure_of_is_kept)
 {
     const model_choice it{{}};
-    BOOST_TEST(it.after(route_of_three(), small, 0.6, plenty) == small);
-    BOOST_TEST(it.after(route_of_three(), middle, 0.5, plenty) == middle);
+    BOOST_TEST(after(it, small, 0.6) == small);
+    BOOST_TEST(after(it, middle, 0.5) == middle);
 }
 
 // A model that is sure by little more than half is wrong now and then. Another that is a little
@@ -36,11 +52,11 @@
 BOOST_AUTO_TEST_CASE(a_barely_sure_answer_goes_to_the_middle_model_while_engines_are_quick)
 {
     model_choice it{{}};
-    BOOST_TEST(it.after(route_of_three(), small, 0.55, plenty) == middle);
+    BOOST_TEST(after(it, small, 0.55) == middle);
     for (int n = 0; n < 200; ++n) {
         it.saw_first(0.9);
     }
-    BOOST_TEST(it.after(route_of_three(), small, 0.55, plenty) == small);
+    BOOST_TEST(after(it, small, 0.55) == small);
 }
 
 // Requests of all difficulties come. Those that the smallest model nearly answers well are the
@@ -48,9 +64,9 @@
 BOOST_AUTO_TEST_CASE(a_request_that_was_nearly_answered_well_goes_to_the_middle_model)
 {
     const model_choice it{{}};
-    BOOST_TEST(it.after(route_of_three(), small, 0.45, plenty) == middle);
-    BOOST_TEST(it.after(route_of_three(), small, 0.2, plenty) == large);
-    BOOST_TEST(it.after(route_of_three(), middle, 0.45, plenty) == large);
+    BOOST_TEST(after(it, small, 0.45) == middle);
+    BOOST_TEST(after(it, small, 0.2) == large);
+    BOOST_TEST(after(it, middle, 0.45) == large);
 }
 
 // The middle model turns out to be hardly better than the smallest: it is asked no more.
@@ -60,7 +76,7 @@
     for (int n = 0; n < 100; ++n) {
         it.saw_pair("small", 0.45, "middle", 0.46);
     }
-    BOOST_TEST(it.after(route_of_three(), small, 0.45, plenty) == large);
+    BOOST_TEST(after(it, small, 0.45) == large);
 }
 
 BOOST_AUTO_TEST_CASE(a_middle_model_that_gains_much_is_asked_more_often)
@@ -70,7 +86,7 @@
         it.saw_pair("small", 0.3, "middle", 0.6);
         it.saw_pair("small", 0.3, "middle", 1.0); // the end of the scale says little
     }
-    BOOST_TEST(it.after(route_of_three(), small, 0.25, plenty) == middle);
+    BOOST_TEST(after(it, small, 0.25) == middle);
 }
 
 // Engines are slow, first events come near their targets. The largest model is asked less, as it
@@ -81,15 +97,37 @@
     for (int n = 0; n < 200; ++n) {
         it.saw_first(0.9);
     }
-    BOOST_TEST(it.after(route_of_three(), small, 0.45, plenty) == middle);
-    BOOST_TEST(it.after(route_of_three(), small, 0.35, plenty) == small);
-    BOOST_TEST(it.after(route_of_three(), small, 0.2, plenty) == large);
+    BOOST_TEST(after(it, small, 0.45) == middle);
+    BOOST_TEST(after(it, small, 0.35) == small);
+    BOOST_TEST(after(it, small, 0.2) == large);
+}
+
+// On some routes the target is all the time that callers give. A larger model is asked wherever it
+// is likely to be done in time; counted in whole targets, it was never asked there, and every
+// answer that was too hard for the smallest model was worth nothing to its caller.
+BOOST_AUTO_TEST_CASE(a_larger_model_is_asked_where_its_answer_comes_in_time)
+{
+    model_choice it{{}};
+    learn_times(it, "large", millis{300}, millis{200});
+    BOOST_TEST(after(it, small, 0.1, millis{900}) == large);
+    BOOST_TEST(after(it, small, 0.1, millis{400}) == small);
+    learn_times(it, "large", millis{900}, millis{300});
+    BOOST_TEST(after(it, small, 0.1, millis{900}) == small);
+}
+
+BOOST_AUTO_TEST_CASE(a_model_that_was_never_seen_is_asked_with_a_third_of_the_target_left)
+{
+    const model_choice it{{}};
+    BOOST_TEST(after(it, small, 0.1, millis{400}) == large);
+    BOOST_TEST(after(it, small, 0.1, millis{200}) == small);
 }
 
-BOOST_AUTO_TEST_CASE(without_time_for_another_answer_the_first_is_kept)
+// The last attempt that a route allows is not spent on a dropped answer: the answer that is there
+// would be lost for one that may not come.
+BOOST_AUTO_TEST_CASE(without_an_attempt_left_the_answer_is_kept)
 {
     const model_choice it{{}};
-    BOOST_TEST(it.after(route_of_three(), small, 0.1, millis{900}) == small);
+    BOOST_TEST(after(it, small, 0.1, plenty, 0) == small);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
