[balancer] Work leaves failure domains from which streams are held up on their way

A lost segment holds a stream up for 200 ms; engines there look sound.

Events that come together after a pause of 150 ms were held up on their way (an engine that pauses goes on with one event). way_quality keeps the share of such streams by failure domain, set against the best domain, so that a slow process blames no way, and forgotten with a half-life of 2.5 s. A domain from which all streams are held up costs as much as 500 ms of waiting.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -2,6 +2,7 @@
 
 #include "hickorypost/base/time.h"
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/way_quality.h"
 
 #include <functional>
 #include <span>
@@ -62,6 +63,9 @@
     double service_ms = 25;
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
+    /// Cost of a failure domain from which all streams are held up on their way. It competes with
+    /// waiting: engines on a bad way are still used once those on good ways are loaded.
+    double bad_way_ms = 500;
     /// Time that engines surely keep a prompt part after its last use.
     millis prefix_memory{15'000};
     /// What a prompt token that need not be read again is worth, in multiples of the time to read
@@ -96,6 +100,8 @@
         bool streaming = false;
         bool first_seen = false;
         instant started;
+        std::string failure_domain;
+        bool held_up = false; ///< its events came late by the way at least once
     };
 
     /// The best candidate that is not in `tried`; null if none is left.
@@ -104,6 +110,8 @@
                                 instant now);
     ticket started(const backend_entry& on, const job_size& job, instant now);
     void first_answer(ticket& it, instant now);
+    /// Events of a stream came together, `gap` after the one before.
+    void more_events(ticket& it, std::uint64_t events, micros gap, instant now);
     void ended(ticket& it, attempt_result how, instant now);
 
     /// Milliseconds that an ordinary engine takes to read a prompt of which `cached` tokens are
@@ -151,6 +159,7 @@
     random_fn random_;
     std::unordered_map<std::string, backend_load> loads_;
     changed_fn changed_;
+    way_quality ways_{{}};
     std::vector<option> options_;          ///< of the choice being made
     std::vector<std::uint64_t> part_keys_; ///< of the shared parts of its prompt
 };
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -155,6 +155,7 @@
 
 void exchange::relay_events(std::string_view bytes)
 {
+    const std::uint64_t before = events_.events();
     const std::string whole = events_.push(bytes);
     if (events_.out_of_order()) {
         end_attempt(attempt_result::failed);
@@ -179,6 +180,7 @@
     const instant now = services_.now();
     if (last_event_ != instant{}) {
         record_.longest_gap = std::max(record_.longest_gap, now - last_event_);
+        services_.balancer.more_events(*ticket_, events_.events() - before, now - last_event_, now);
     }
     last_event_ = now;
     if (attempt_first_ == instant{}) {
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -110,6 +110,7 @@
     const double slots = std::max<std::uint32_t>(1, it.record.slots);
     double out = it.record.failure_domain == own_domain_ ? 0 : settings_.other_domain_ms;
     if (job.prompt_tokens > 0) {
+        out += settings_.bad_way_ms * ways_.excess(it.record.failure_domain, now);
         const double reading = load.reading_ms + others.reading_ms + reading_ms(job, 0);
         const double noticed = std::max(0.0, reading - settings_.unnoticed_reading_ms);
         out += reading;
@@ -196,7 +197,8 @@
     if (load.probation_until > now) {
         load.probation_until = now + settings_.longest_probation; // one try at a time
     }
-    return {on.record.id, reading, job.prompt_tokens > 0, false, now};
+    return {on.record.id, reading, job.prompt_tokens > 0, false, now, on.record.failure_domain,
+            false};
 }
 
 void load_balancer::first_answer(ticket& it, instant now)
@@ -218,6 +220,14 @@
     }
 }
 
+void load_balancer::more_events(ticket& it, std::uint64_t events, micros gap, instant now)
+{
+    if (ways_.is_stall(gap, events)) {
+        it.held_up = true;
+        ways_.saw(it.failure_domain, true, now);
+    }
+}
+
 void load_balancer::ended(ticket& it, attempt_result how, instant now)
 {
     backend_load& load = loads_[it.backend];
@@ -226,6 +236,9 @@
         load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     }
     changed_(it.backend, {load.requests, load.reading_ms});
+    if (it.streaming && it.first_seen && !it.held_up) {
+        ways_.saw(it.failure_domain, false, now);
+    }
     const auto learn = [&](double failed) {
         load.failure_ratio += settings_.failure_weight * (failed - load.failure_ratio);
     };
--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -58,4 +58,28 @@
     BOOST_TEST(engines.choose(prompt(2'000)) == "e0");
 }
 
+// The links of domain `b` lose packets: each stream from there stands still now and then, while its
+// engine looks as idle as the others. Work stays in the own domain although that is the busier one,
+// and goes back once a while has passed without word of stalls.
+BOOST_AUTO_TEST_CASE(work_leaves_a_domain_from_which_streams_are_held_up)
+{
+    some_engines engines{1};
+    engines.add("far", "b");
+    engines.balancer.set_others("e0", {20, 0});
+    const job_size job = prompt(500);
+    BOOST_REQUIRE(engines.choose(job) == "far");
+    const auto stream = [&](const std::string& id, bool held_up) {
+        auto it = engines.balancer.started(*engines.directory.find(id), job, start);
+        engines.balancer.first_answer(it, start);
+        engines.balancer.more_events(it, held_up ? 5 : 1, millis{220}, start);
+        engines.balancer.ended(it, attempt_result::answered, start);
+    };
+    for (int n = 0; n < 5; ++n) {
+        stream("e0", false);
+        stream("far", true);
+    }
+    BOOST_TEST(engines.choose(job) == "e0");
+    BOOST_TEST(engines.choose(job, start + millis{20'000}) == "far");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
