--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -59,6 +59,9 @@
     /// it holds up few. Of all credit of a day with trouble 0.926 is earned instead of 0.920 (mean
     /// of 20 days at 9 engines, late pauses on the quiet ones two thirds).
     double held_up_ms = 0.03;
+    /// How long a stream keeps its slot, before any was measured. One that comes when all slots are
+    /// taken waits until enough of them have ended.
+    double slot_ms = 2000;
     /// Mean service time of a plain service's request before any was measured.
     double service_ms = 25;
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
@@ -102,6 +105,7 @@
         instant started;
         std::string failure_domain;
         bool held_up = false; ///< its events came late by the way at least once
+        instant first_at;     ///< its first event
     };
 
     /// The best candidate that is not in `tried`; null if none is left.
@@ -160,6 +164,7 @@
     std::unordered_map<std::string, backend_load> loads_;
     changed_fn changed_;
     way_quality ways_{{}};
+    double slot_ms_; ///< running mean of the time that a stream keeps its slot
     std::vector<option> options_;          ///< of the choice being made
     std::vector<std::uint64_t> part_keys_; ///< of the shared parts of its prompt
 };
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -38,8 +38,8 @@
 
 load_balancer::load_balancer(balancer_settings settings, std::string own_domain, random_fn random,
                              changed_fn changed)
-    : settings_{settings},
-      own_domain_{std::move(own_domain)}, random_{std::move(random)}, changed_{std::move(changed)}
+    : settings_{settings}, own_domain_{std::move(own_domain)}, random_{std::move(random)},
+      changed_{std::move(changed)}, slot_ms_{settings.slot_ms}
 {
 }
 
@@ -116,7 +116,7 @@
         out += reading;
         out += running * (settings_.stream_ms + settings_.held_up_ms * noticed);
         if (running >= slots) {
-            out += (running - slots + 1) * settings_.stream_ms * slots;
+            out += (running - slots + 1) * slot_ms_ / slots;
         }
     } else {
         const double service = load.service_ms > 0 ? load.service_ms : all.service_ms;
@@ -207,6 +207,7 @@
         return;
     }
     it.first_seen = true;
+    it.first_at = now;
     backend_load& load = loads_[it.backend];
     load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     changed_(it.backend, {load.requests, load.reading_ms});
@@ -236,8 +237,12 @@
         load.reading_ms = std::max(0.0, load.reading_ms - it.reading_ms);
     }
     changed_(it.backend, {load.requests, load.reading_ms});
-    if (it.streaming && it.first_seen && !it.held_up) {
-        ways_.saw(it.failure_domain, false, now);
+    if (it.streaming && it.first_seen) {
+        const double kept = static_cast<double>((now - it.first_at).count()) / micros_per_milli;
+        slot_ms_ += service_time_weight * (kept - slot_ms_);
+        if (!it.held_up) {
+            ways_.saw(it.failure_domain, false, now);
+        }
     }
     const auto learn = [&](double failed) {
         load.failure_ratio += settings_.failure_weight * (failed - load.failure_ratio);
