[rollout] A new version is compared with what the old one takes for the like

An answer counted as bad when it took four times the old version's mean on the route, measured from the request's start: time of dropped smaller models and of failed attempts was in it, and a long prompt at the largest model takes ten times the mean of the route anyway.

The attempt's own time is set against the old version's, by route and model, in proportion to the reckoned time of reading the prompt.

Test: a_new_version_is_compared_with_what_the_old_one_takes_for_the_like.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -164,8 +164,8 @@
     std::unordered_map<std::string, backend_load> loads_;
     changed_fn changed_;
     way_quality ways_{{}};
-    double slot_ms_; ///< running mean of the time that a stream keeps its slot
-    std::vector<option> options_;          ///< of the choice being made
+    double slot_ms_;              ///< running mean of the time that a stream keeps its slot
+    std::vector<option> options_; ///< of the choice being made
     std::vector<std::uint64_t> part_keys_; ///< of the shared parts of its prompt
 };
 
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hickorypost::gateway {
@@ -16,6 +17,20 @@
     std::uint64_t bad = 0; ///< failures, and answers far slower than the other version's
 };
 
+/// An answer as evidence of its version.
+struct seen_answer {
+    std::string service;
+    std::string route;
+    std::string model; ///< empty: a plain service's
+    std::string version;
+    bool failed = false;
+    /// From the sending of the attempt that gave it until its first event, or the whole of a plain
+    /// answer. What other attempts took before says nothing of this version.
+    micros took{0};
+    /// Milliseconds that reading its prompt is reckoned to take; 0: it has none.
+    double reading_ms = 0;
+};
+
 /// One process's side of roll-outs: which versions of a service may get a request, and what they
 /// made of it. Sans I/O.
 class rollout_view {
@@ -37,9 +52,7 @@
     /// keeps its version through the first half of a roll-out.
     void choose_version(const std::string& service, const std::string& session,
                         std::vector<const backend_entry*>& candidates, instant now);
-    /// An attempt is over. `took`: until the first event, or the whole of a plain answer.
-    void saw(const std::string& service, const std::string& route, const std::string& version,
-             bool failed, micros took, instant now);
+    void saw(const seen_answer& answer);
     /// Takes the tallies of services with a running roll-out, by service and whether the version is
     /// the new one.
     struct report_row {
@@ -56,7 +69,8 @@
         bool known = false;
         std::string incumbent; ///< the version that serves where no roll-out says otherwise
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
-        std::map<std::string, double> old_ms;         ///< by route: the incumbent's running mean
+        /// The incumbent's running mean of time over reckoned time, by route and model.
+        std::map<std::pair<std::string, std::string>, double> old_pace;
         instant trial_from;       ///< the trial's share applies from then on in this process
         std::uint32_t streak = 0; ///< bad answers of the new version lately
         bool tripped = false;     ///< too many: no new work until the leader decides
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -264,12 +264,12 @@
     // there: counted, a few crashes while a good version is on trial would send it back.
     const bool own_failure = how == attempt_result::failed && failure_head_.has_value();
     if (how == attempt_result::answered || own_failure) {
-        const bool failed = own_failure;
-        const auto took = record_.to_first.count() > 0 && !failed
-                              ? record_.to_first
-                              : services_.now() - attempt_began_;
-        services_.rollouts.saw(record_.service, route_.name, record_.version, failed, took,
-                               services_.now());
+        const instant end =
+            own_failure || attempt_first_ == instant{} ? services_.now() : attempt_first_;
+        const job_size job = job_now();
+        services_.rollouts.saw({record_.service, route_.name, job.model, record_.version,
+                                own_failure, end - attempt_began_,
+                                services_.balancer.reading_ms(job, 0)});
     }
 }
 
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 
-/// An answer of the new version that takes this many times as long as the old one's mean on the
-/// same route, and this much longer, counts as bad: versions that are merely slower under a burst
-/// stay below it.
+/// An answer of the new version that takes this many times as long as the old one would on the
+/// same route with the same model and a prompt of that length, and this much longer, counts as bad:
+/// versions that are merely slower under a burst stay below it.
 constexpr double slow_factor = 4;
 constexpr double slow_extra_ms = 150;
 constexpr double mean_weight = 0.05;
+/// Below, answers take the same time whatever the prompt: the way and one step of the engine.
+constexpr double least_reckoned_ms = 20;
 constexpr double micros_per_milli = 1000;
 /// Bad answers of the new version, less good ones, after which this process stops using it without
 /// waiting for the leader, which may be cut off.
@@ -151,18 +153,23 @@
     }
 }
 
-void rollout_view::saw(const std::string& service, const std::string& route,
-                       const std::string& version, bool failed, micros took, instant)
+void rollout_view::saw(const seen_answer& answer)
 {
-    auto& it = services_[service];
+    const auto& version = answer.version;
+    auto& it = services_[answer.service];
     const bool target = it.known && version == it.status.target;
-    const double ms = static_cast<double>(took.count()) / micros_per_milli;
-    double& mean = it.old_ms[route];
-    bool bad = failed;
-    if (!target && !failed) {
-        mean = mean == 0 ? ms : mean + mean_weight * (ms - mean);
-    } else if (target && mean > 0) {
-        bad = bad || (ms > slow_factor * mean && ms > mean + slow_extra_ms);
+    const double ms = static_cast<double>(answer.took.count()) / micros_per_milli;
+    // Long prompts and large models take many times as long as short and small ones. Compared as
+    // they are, a good version that met a few of them was sent back.
+    const double reckoned = std::max(least_reckoned_ms, answer.reading_ms);
+    double& pace = it.old_pace[{answer.route, answer.model}];
+    bool bad = answer.failed;
+    if (!target && !bad) {
+        const double own = ms / reckoned;
+        pace = pace == 0 ? own : pace + mean_weight * (own - pace);
+    } else if (target && pace > 0) {
+        const double expected = pace * reckoned;
+        bad = bad || (ms > slow_factor * expected && ms > expected + slow_extra_ms);
     }
     if (!it.known || it.status.phase != rollout_phase::running) {
         return;
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -371,4 +371,33 @@
     BOOST_TEST(moved > 60U);
 }
 
+// A good new version gets its share of long prompts and large models, whose first events take ten
+// times as long as the mean of the route. Compared with that mean it looked slow and was sent back;
+// compared with what the old version takes for the like, only one that really is slower does.
+BOOST_AUTO_TEST_CASE(a_new_version_is_compared_with_what_the_old_one_takes_for_the_like)
+{
+    rollout_view view{seeded_random_fn(1), millis{10'000}};
+    view.follow({{"llm", {"llm", "v2", 20'000, rollout_phase::running, 300, 600, {}}}}, start);
+    const auto answers = [&](const std::string& version, double slower) {
+        for (int n = 0; n < 40; ++n) {
+            const bool is_long = n % 8 == 0;
+            const double reading = is_long ? 900 : 40;
+            const auto took = millis{static_cast<std::int64_t>(reading * slower)};
+            view.saw({"llm", "r", is_long ? "large" : "small", version, false, took, reading});
+        }
+    };
+    const auto bad_of = [&](const std::string& version) {
+        std::uint64_t out = 0;
+        for (const auto& row : view.take_report()) {
+            out += row.version == version ? row.bad : 0;
+        }
+        return out;
+    };
+    answers("v1", 1.2);
+    answers("v2", 1.5);
+    BOOST_TEST(bad_of("v2") == 0U);
+    answers("v2", 8);
+    BOOST_TEST(bad_of("v2") == 40U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
