[rollout] A slow version is told by its pace beside the old one's

Where the old version is loaded and the new one is not, one that takes eight times as long is still within four times the old version's mean, and each answer passes for good.

While both answer, a share of slow answers that is 0.3 beyond the old version's sends the new one back (the same sequential test). Load changes the pace of both, so nothing is judged by pace once the old one answers no more.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -147,6 +147,7 @@
     void relay_events(std::string_view bytes);
     void go_on_elsewhere(std::string_view why);
     void note_run();
+    void note_pace(std::uint64_t events);
     void deliver_held();
     void give_up(std::string_view why);
     void refuse(unsigned status, std::string_view why);
@@ -180,11 +181,12 @@
     std::optional<load_balancer::ticket> ticket_;
     std::vector<std::string> tried_;
     instant attempt_began_;
-    instant attempt_first_;        ///< its first event; the epoch: none yet
-    bool attempt_is_whole_ = true; ///< it does not go on with the events of another
-    std::uint32_t sends_ = 0;      ///< attempts that may have reached a backend server
-    std::uint32_t unsent_ = 0;     ///< attempts that surely did not
-    bool send_counted_ = false;    ///< the current attempt is among `sends_`
+    instant attempt_first_;            ///< its first event; the epoch: none yet
+    std::uint64_t attempt_events_ = 0; ///< after its first
+    bool attempt_is_whole_ = true;     ///< it does not go on with the events of another
+    std::uint32_t sends_ = 0;          ///< attempts that may have reached a backend server
+    std::uint32_t unsent_ = 0;         ///< attempts that surely did not
+    bool send_counted_ = false;        ///< the current attempt is among `sends_`
     bool may_have_run_ = false;
     std::size_t model_rank_ = 0;
     std::string judged_model_; ///< the last one whose confidence was read, and that
--- a/modules/gateway/include/hickorypost/gateway/rollout_judge.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_judge.h
@@ -32,6 +32,11 @@
     /// Answers older than this are left out: a version that turns bad late, or under load, must not
     /// be covered by the good answers from before.
     millis evidence_window{4000};
+    /// Slowness by its pace: a quarter of the old version's answers count as slow, by chance some
+    /// more. Judged only while both versions answer, as load changes the pace of both: at least
+    /// this many of the old version's in the window.
+    rollout::test_options pace_test{.max_worse = 0.3, .confidence = 0.995, .floor_ratio = 0.25};
+    std::uint64_t least_paced = 20;
     rollout::test_options test{.max_worse = 0.2, .confidence = 0.995, .floor_ratio = 0.02};
 };
 
@@ -59,8 +64,8 @@
     };
     /// What the candidate and the incumbent did within the window.
     struct comparison {
-        rollout::tally candidate;
-        rollout::tally incumbent;
+        version_tally candidate;
+        version_tally incumbent;
     };
 
     void decide(standing& it, instant now);
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -2,6 +2,7 @@
 
 #include "hickorypost/gateway/backend_directory.h"
 #include "hickorypost/gateway/control_state.h"
+#include "hickorypost/gateway/running_quantile.h"
 
 #include <map>
 #include <string>
@@ -14,7 +15,9 @@
 /// What one version of a service did, as one process saw it since its last report.
 struct version_tally {
     std::uint64_t answers = 0;
-    std::uint64_t bad = 0; ///< failures, and answers far slower than the other version's
+    std::uint64_t bad = 0;   ///< failures, and answers far slower than the other version's
+    std::uint64_t paced = 0; ///< answers whose pace was seen
+    std::uint64_t slow = 0;  ///< of them, slower than three quarters of the old version's
 };
 
 /// An answer as evidence of its version.
@@ -53,13 +56,16 @@
     void choose_version(const std::string& service, const std::string& session,
                         std::vector<const backend_entry*>& candidates, instant now);
     void saw(const seen_answer& answer);
+    /// How quickly a version answers: the mean interval of a stream's first events, or the whole of
+    /// a plain answer. `like`: what it is compared with, as requests of one route.
+    void saw_pace(const std::string& service, const std::string& like, const std::string& version,
+                  micros pace);
     /// Takes the tallies of services with a running roll-out, by service and whether the version is
     /// the new one.
     struct report_row {
         std::string service;
         std::string version;
-        std::uint64_t answers = 0;
-        std::uint64_t bad = 0;
+        version_tally seen;
     };
     std::vector<report_row> take_report();
 
@@ -71,6 +77,8 @@
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
         /// The incumbent's running mean of time over reckoned time, by route and model.
         std::map<std::pair<std::string, std::string>, double> old_pace;
+        /// The incumbent's slowest quarter begins there, by what is alike; microseconds.
+        std::map<std::string, running_quantile> old_quartile;
         instant trial_from;       ///< the trial's share applies from then on in this process
         std::uint32_t streak = 0; ///< bad answers of the new version lately
         bool tripped = false;     ///< too many: no new work until the leader decides
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -12,6 +12,9 @@
 constexpr unsigned first_success = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_failure = 500;
+/// Events after a stream's first whose mean interval tells the engine's pace: early enough to act
+/// on while the stream runs, enough to smooth single pauses.
+constexpr std::uint64_t paced_events = 4;
 
 bool is_success(unsigned status)
 {
@@ -183,9 +186,7 @@
         services_.balancer.more_events(*ticket_, events_.events() - before, now - last_event_, now);
     }
     last_event_ = now;
-    if (attempt_first_ == instant{}) {
-        attempt_first_ = now;
-    }
+    note_pace(events_.events() - before);
     services_.balancer.first_answer(*ticket_, now);
     caller_.piece(whole);
     if (current_ && caller_.unsent() > services_.settings.most_unsent_bytes) {
@@ -219,6 +220,24 @@
     deliver_held();
 }
 
+void exchange::note_pace(std::uint64_t events)
+{
+    const instant now = services_.now();
+    if (attempt_first_ == instant{}) {
+        attempt_first_ = now;
+        attempt_events_ = 0;
+        return;
+    }
+    const bool seen = attempt_events_ >= paced_events;
+    attempt_events_ += events;
+    if (!seen && attempt_events_ >= paced_events) {
+        // All streams of a service share its engines' steps, whatever their route and model.
+        services_.rollouts.saw_pace(record_.service, {}, record_.version,
+                                    (now - attempt_first_) /
+                                        static_cast<std::int64_t>(attempt_events_));
+    }
+}
+
 void exchange::note_run()
 {
     if (!request_.any_model || attempt_first_ == instant{} || !attempt_is_whole_) {
--- a/modules/gateway/src/rollout_judge.cpp
+++ b/modules/gateway/src/rollout_judge.cpp
@@ -76,8 +76,10 @@
     comparison out;
     for (const auto& [taken, row] : it.rows) {
         auto& side = row.version == it.status.target ? out.candidate : out.incumbent;
-        side.answers += row.answers;
-        side.bad += row.bad;
+        side.answers += row.seen.answers;
+        side.bad += row.seen.bad;
+        side.paced += row.seen.paced;
+        side.slow += row.seen.slow;
     }
     return out;
 }
@@ -89,8 +91,18 @@
     next.elapsed_ms = static_cast<std::uint64_t>(elapsed);
     const double part = part_of(next);
     const auto [candidate, incumbent] = compare(it, now);
-    const auto found = rollout::judge(candidate, incumbent, settings_.test);
-    if (found.verdict == rollout::test_verdict::bad) {
+    const auto found = rollout::judge({candidate.answers, candidate.bad},
+                                      {incumbent.answers, incumbent.bad}, settings_.test);
+    const bool comparable = incumbent.paced >= settings_.least_paced;
+    const auto pace = rollout::judge({candidate.paced, candidate.slow},
+                                     {incumbent.paced, incumbent.slow}, settings_.pace_test);
+    if (comparable && pace.verdict == rollout::test_verdict::bad) {
+        next.phase = rollout_phase::rolled_back;
+        next.share_permille = 0;
+        next.reason = std::to_string(candidate.slow) + " of " + std::to_string(candidate.paced) +
+                      " answers slow, old version " + std::to_string(incumbent.slow) + " of " +
+                      std::to_string(incumbent.paced);
+    } else if (found.verdict == rollout::test_verdict::bad) {
         next.phase = rollout_phase::rolled_back;
         next.share_permille = 0;
         next.reason = std::to_string(candidate.bad) + " of " + std::to_string(candidate.answers) +
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -15,6 +15,8 @@
 constexpr double slow_factor = 4;
 constexpr double slow_extra_ms = 150;
 constexpr double mean_weight = 0.05;
+constexpr double upper_quartile = 0.75;
+constexpr double quartile_step = 0.05;
 /// Below, answers take the same time whatever the prompt: the way and one step of the engine.
 constexpr double least_reckoned_ms = 20;
 constexpr double micros_per_milli = 1000;
@@ -183,12 +185,32 @@
     }
 }
 
+void rollout_view::saw_pace(const std::string& service, const std::string& like,
+                            const std::string& version, micros pace)
+{
+    auto& it = services_[service];
+    const bool target = it.known && version == it.status.target;
+    const auto value = static_cast<double>(pace.count());
+    auto& quartile =
+        it.old_quartile.try_emplace(like, running_quantile{upper_quartile, quartile_step})
+            .first->second;
+    const bool slow = quartile.known() && value > quartile.value();
+    if (!target) {
+        quartile.add(value);
+    }
+    if (it.known && it.status.phase == rollout_phase::running && quartile.known()) {
+        auto& tally = it.tallies[version];
+        ++tally.paced;
+        tally.slow += slow ? 1 : 0;
+    }
+}
+
 std::vector<rollout_view::report_row> rollout_view::take_report()
 {
     std::vector<report_row> out;
     for (auto& [service, it] : services_) {
         for (const auto& [version, tally] : it.tallies) {
-            out.push_back({service, version, tally.answers, tally.bad});
+            out.push_back({service, version, tally});
         }
         it.tallies.clear();
     }
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -288,6 +288,7 @@
 struct rollout_day {
     rollout_status status{"app", "v2", 20'000, rollout_phase::running, 0, 0, {}};
     std::uint64_t exposed = 0;
+    std::uint64_t new_slow = 25; ///< of 100 answers, slower than the old version's quartile
     rollout_judge judge{{}, [this](const rollout_status& it) { status = it; }};
 
     void run(const std::function<bool(double part, std::uint64_t n)>& new_is_bad)
@@ -296,13 +297,15 @@
         for (int step = 0; step < 80 && status.phase == rollout_phase::running; ++step) {
             const instant now = start + millis{step * 250};
             judge.follow({{"app", status}}, now);
-            rollout_view::report_row old_row{"app", "v1", 0, 0};
-            rollout_view::report_row new_row{"app", "v2", 0, 0};
+            rollout_view::report_row old_row{"app", "v1", {}};
+            rollout_view::report_row new_row{"app", "v2", {}};
             for (std::uint64_t it = 0; it < 40; ++it, ++n) {
                 const bool to_new = n % 40 < status.share_permille * 40 / 1000;
                 auto& row = to_new ? new_row : old_row;
-                ++row.answers;
-                row.bad += to_new && new_is_bad(step / 80.0, n) ? 1U : 0U;
+                ++row.seen.answers;
+                row.seen.bad += to_new && new_is_bad(step / 80.0, n) ? 1U : 0U;
+                ++row.seen.paced;
+                row.seen.slow += n % 100 < (to_new ? new_slow : 25) ? 1U : 0U;
                 exposed += to_new ? 1U : 0U;
             }
             judge.take(old_row, now);
@@ -322,6 +325,22 @@
     BOOST_TEST(it.status.elapsed_ms < it.status.duration_ms);
 }
 
+// A new version takes four times as long as the old one, and each answer is still quick enough to
+// pass for a good one under load. Its pace beside the old version's tells within a few answers; one
+// that is a little slower by chance is completed.
+BOOST_AUTO_TEST_CASE(a_slow_version_is_sent_back_by_its_pace)
+{
+    rollout_day slow;
+    slow.new_slow = 95;
+    slow.run([](double, std::uint64_t) { return false; });
+    BOOST_TEST((slow.status.phase == rollout_phase::rolled_back));
+    BOOST_TEST(slow.exposed < 50U);
+    rollout_day fair;
+    fair.new_slow = 35;
+    fair.run([](double, std::uint64_t) { return false; });
+    BOOST_TEST((fair.status.phase == rollout_phase::completed));
+}
+
 // A version that fails from the start, late, or only under load: each is sent back, with at most 15
 // in 100 of all requests on it.
 BOOST_AUTO_TEST_CASE(bad_versions_are_sent_back_with_bounded_exposure)
@@ -389,7 +408,7 @@
     const auto bad_of = [&](const std::string& version) {
         std::uint64_t out = 0;
         for (const auto& row : view.take_report()) {
-            out += row.version == version ? row.bad : 0;
+            out += row.version == version ? row.seen.bad : 0;
         }
         return out;
     };
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -414,6 +414,8 @@
     std::string version;
     std::uint64_t answers = 0;
     std::uint64_t bad = 0;
+    std::uint64_t paced = 0; ///< answers whose pace was seen
+    std::uint64_t slow = 0;  ///< of them, slower than three quarters of the old version's
 };
 
 /// Sessions, by hash, that a host has seen on an old version and that a trial must not move.
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -419,7 +419,8 @@
     case wire::message_type::version_report:
         if (const auto it = wire::try_decode<wire::version_report>(body)) {
             for (const auto& row : it->rows) {
-                judge_.take({row.service, row.version, row.answers, row.bad}, now_());
+                judge_.take({row.service, row.version, {row.answers, row.bad, row.paced, row.slow}},
+                            now_());
             }
         }
         return true;
@@ -441,7 +442,8 @@
     }
     wire::version_report out;
     for (const auto& it : rows) {
-        out.rows.push_back({it.service, it.version, it.answers, it.bad});
+        out.rows.push_back(
+            {it.service, it.version, it.seen.answers, it.seen.bad, it.seen.paced, it.seen.slow});
     }
     if (leader_.empty() || !mesh_.send(leader_, out)) {
         env_.log->warn("evidence of {} versions lost: no leader is known", rows.size());
