--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -34,6 +34,8 @@
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
     double plain_silence_factor = 3.0;
+    /// Broken streams go on at another backend server where their route allows it.
+    bool resumes = true;
     /// When a request that was refused for lack of room may come back, spread over a span so that
     /// those who return do not all return at once.
     millis least_retry_after{150};
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -69,6 +69,12 @@
     /// Cost of a failure domain from which all streams are held up on their way. It competes with
     /// waiting: engines on a bad way are still used once those on good ways are loaded.
     double bad_way_ms = 500;
+    /// Prompts with shared parts meet on one engine by hashing.
+    bool home_by_hash = true;
+    /// Work that other processes report counts.
+    bool heeds_others = true;
+    /// Requests beyond an engine's slots wait.
+    bool waits_for_slots = true;
     /// Time that engines surely keep a prompt part after its last use.
     millis prefix_memory{15'000};
     /// What a prompt token that need not be read again is worth, in multiples of the time to read
--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -33,6 +33,10 @@
     double gain_weight = 0.05;
     /// What an answer that comes after its target is worth to a caller, against one in time.
     double late_part = 0.3;
+    bool uses_middle = true;     ///< models between the smallest and the largest are asked
+    bool feels_pressure = true;  ///< less is asked of larger models while first events are slow
+    bool weighs_time = true;     ///< an answer must be likely to be whole in time
+    bool weighs_lateness = true; ///< an answer that would be late is asked for only in need
 };
 
 /// An answer of one of a route's models, of which only the head has come.
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -284,7 +284,7 @@
         return;
     }
     const bool resumable = route_.kind == request_kind::streaming && route_.resumable;
-    if (!resumable || !repeat_allowed()) {
+    if (!resumable || !services_.settings.resumes || !repeat_allowed()) {
         caller_.break_off();
         finish(exchange_outcome::broken_off, head_.status, why);
         return;
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -64,7 +64,7 @@
     const backend_entry* out = nullptr;
     std::uint64_t highest = 0;
     for (const auto& it : options_) {
-        if (part_keys_.empty()) {
+        if (part_keys_.empty() || !settings_.home_by_hash) {
             break;
         }
         const std::uint64_t rank = hash_bytes(it.entry->record.id, part_keys_.back());
@@ -115,7 +115,7 @@
         const double noticed = std::max(0.0, reading - settings_.unnoticed_reading_ms);
         out += reading;
         out += running * (settings_.stream_ms + settings_.held_up_ms * noticed);
-        if (running >= slots) {
+        if (settings_.waits_for_slots && running >= slots) {
             out += (running - slots + 1) * slot_ms_ / slots;
         }
     } else {
@@ -271,7 +271,7 @@
 
 void load_balancer::set_others(const std::string& backend, const remote_load& others)
 {
-    loads_[backend].others = others;
+    loads_[backend].others = settings_.heeds_others ? others : remote_load{};
 }
 
 void load_balancer::forget(const std::string& backend)
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -27,8 +27,8 @@
         return answer.rank;
     }
     const double confidence = answer.confidence;
-    for (std::size_t next = answer.rank + 1; confidence < least_before_middle() && next < largest;
-         ++next) {
+    const bool middle = settings_.uses_middle && confidence < least_before_middle();
+    for (std::size_t next = answer.rank + 1; middle && next < largest; ++next) {
         const double likely = expected(models[answer.rank], confidence, models[next]);
         if (likely >= settings_.calm_confidence && whole_in_time(answer, next) &&
             on_target(answer, next)) {
@@ -54,7 +54,8 @@
     const auto& models = answer.route.models;
     std::size_t out = answer.rank;
     double best = answer.confidence;
-    for (std::size_t next = answer.rank + 1; next + 1 < models.size(); ++next) {
+    for (std::size_t next = answer.rank + 1; settings_.uses_middle && next + 1 < models.size();
+         ++next) {
         const double likely = expected(models[answer.rank], answer.confidence, models[next]);
         if (likely > best && whole_in_time(answer, next) && on_target(answer, next)) {
             out = next;
@@ -67,15 +68,17 @@
 bool model_choice::whole_in_time(const model_answer& answer, std::size_t rank) const
 {
     const auto& route = answer.route;
-    return static_cast<double>(answer.left.count()) >=
-           times_.whole_ms(route.name, route.models[rank], answer.reading_ms[rank]);
+    return !settings_.weighs_time ||
+           static_cast<double>(answer.left.count()) >=
+               times_.whole_ms(route.name, route.models[rank], answer.reading_ms[rank]);
 }
 
 bool model_choice::on_target(const model_answer& answer, std::size_t rank) const
 {
     const auto& route = answer.route;
     const auto left = static_cast<double>((route.target_latency - answer.spent).count());
-    return left <= 0 || left >= times_.first_ms(route.models[rank], answer.reading_ms[rank]);
+    return !settings_.weighs_lateness || left <= 0 ||
+           left >= times_.first_ms(route.models[rank], answer.reading_ms[rank]);
 }
 
 double model_choice::expected(const std::string& smaller, double confidence,
@@ -103,6 +106,9 @@
 
 double model_choice::pressure() const
 {
+    if (!settings_.feels_pressure) {
+        return 0;
+    }
     const double span = settings_.pressed_part - settings_.calm_part;
     return std::clamp((first_part_ - settings_.calm_part) / span, 0.0, 1.0);
 }
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -45,7 +45,7 @@
 control_plane::control_plane(runtime& env, peer_mesh& mesh, control_hooks hooks)
     : env_{env}, config_{*env.config.gateway}, mesh_{mesh}, hooks_{std::move(hooks)},
       now_{boot_clock_fn()}, context_{g_main_context_default()},
-      judge_{{}, [this](const gateway::rollout_status& step) {
+      judge_{config_.decisions.judge, [this](const gateway::rollout_status& step) {
                  env_.log->info("roll-out of {} to {}: share {} permille, phase {}, {}",
                                 step.service, step.target, step.share_permille,
                                 static_cast<int>(step.phase), step.reason);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -18,9 +18,6 @@
 constexpr unsigned status_unavailable = 503;
 /// When a caller may come back to a host that has no configuration yet.
 constexpr millis no_config_retry{300};
-/// A process that has just started learns the newest state within a second. Requests that come
-/// before wait for it: most callers come back only once after a refusal.
-constexpr millis start_hold{1200};
 /// A session's next request counts from the end of the one before, which this process notes when it
 /// begins. Longer than the timeouts of routes.
 constexpr millis longest_request{25'000};
@@ -49,15 +46,13 @@
 
 gateway_role::gateway_role(runtime& env)
     : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
-      balancer_{{},
-                env.config.node.failure_domain,
-                env.random,
+      balancer_{config_.decisions.balancer, env.config.node.failure_domain, env.random,
                 [this](const std::string& backend, const gateway::remote_load& own) {
                     if (feed_) {
                         feed_->loads().own_changed(backend, own);
                     }
                 }},
-      rollouts_{env.random, config_.session + longest_request}, models_{{}},
+      rollouts_{env.random, config_.session + longest_request}, models_{config_.decisions.models},
       pool_{poller_, timers_, env.now, [this] { return control_->hosts(); }, {}},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
@@ -69,7 +64,7 @@
                 timers_,
                 env.now,
                 env.random,
-                {},
+                config_.decisions.exchange,
                 {.window = config_.retry_window,
                  .ratio = config_.retry_ratio,
                  .slack = config_.retry_slack},
@@ -154,7 +149,7 @@
         serve(config_.callers,
               {[this] { return table_ ? table_->config().limits : gateway::caller_limits{}; },
                [this](incoming_request it) { return handle_caller(std::move(it)); },
-               [this] { return can_serve(); }, start_hold}));
+               [this] { return can_serve(); }, config_.decisions.start_hold}));
     if (config_.metrics.port != 0) {
         BOOST_LEAF_ASSIGN(metrics_server_,
                           serve(config_.metrics, {control_limits, no_way([this](const auto& it) {
--- a/src/settings.h
+++ b/src/settings.h
@@ -3,6 +3,7 @@
 
 #include "hickorypost/base/result.h"
 #include "hickorypost/base/time.h"
+#include "hickorypost/gateway/decision_settings.h"
 #include "hickorypost/net/connector.h"
 
 #include <optional>
@@ -128,6 +129,7 @@
     double retry_slack = 0;
     millis session{10'000};
     double log_requests_per_second = 20;
+    gateway::decision_settings decisions;
 };
 
 struct settings {
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -261,6 +261,9 @@
          {},
          0,
          1000000},
+        {"gateway", "switched_off", name_list, "", false,
+         "Mechanisms of the gateway's decisions that are switched off, to measure what they are "
+         "worth: `hickorypost mechanisms` lists them."},
     };
     return rows;
 }
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -330,6 +330,8 @@
          "hickorypost check FILE...\n  Example: hickorypost check entry.ini account.json\n",
          run_check},
     verb{"settings", "print the settings page", "hickorypost settings\n", run_settings},
+    verb{"mechanisms", "list what [gateway] switched_off may name", "hickorypost mechanisms\n",
+         run_mechanisms},
     verb{"hash-key", "print the SHA-256 of a key read from standard input",
          "hickorypost hash-key\n  Example: printf %s my-key | hickorypost hash-key\n",
          run_hash_key},
@@ -460,6 +462,14 @@
     return exit_code::done;
 }
 
+exit_code run_mechanisms(std::span<char*>)
+{
+    for (const auto& it : gateway::mechanisms()) {
+        std::cout << it.name << ": " << it.about << "\n";
+    }
+    return exit_code::done;
+}
+
 exit_code run_hash_key(std::span<char*>)
 {
     std::string key;
