--- a/modules/gateway/src/decision_settings.cpp
+++ b/modules/gateway/src/decision_settings.cpp
@@ -33,10 +33,10 @@
     mechanism{
         "pace_test", "a new version is judged by its pace beside the old one's",
         [](all_settings& it) { it.judge.least_paced = std::numeric_limits<std::uint64_t>::max(); }},
-    mechanism{"pressure", "larger models are asked less while first events are slow",
-              [](all_settings& it) { it.models.feels_pressure = false; }},
     mechanism{"prefix_memory", "which engine has lately read a prompt's parts",
               [](all_settings& it) { it.balancer.prefix_memory = millis{0}; }},
+    mechanism{"pressure", "larger models are asked less while first events are slow",
+              [](all_settings& it) { it.models.feels_pressure = false; }},
     mechanism{"probation", "backend servers that cannot be reached are left alone for a while",
               [](all_settings& it) {
                   it.balancer.first_probation = millis{0};
