[balancer] The pause of a resumed stream is none of the way's

A stream that goes on at another backend server began with the pause since the other's last event; with two events together it counted as held up on the way from the new one.

--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -181,8 +181,11 @@
         caller_.begin(head_);
     }
     const instant now = services_.now();
+    const bool first_of_attempt = attempt_first_ == instant{};
     if (last_event_ != instant{}) {
         record_.longest_gap = std::max(record_.longest_gap, now - last_event_);
+    }
+    if (!first_of_attempt) {
         services_.balancer.more_events(*ticket_, events_.events() - before, now - last_event_, now);
     }
     last_event_ = now;
