--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -94,8 +94,9 @@
         judged_confidence_ = *answer.confidence;
     }
     std::vector<double> reading;
-    for (std::size_t n = 0; n < route_.models.size(); ++n) {
-        reading.push_back(services_.balancer.reading_ms(job_of(route_.models[n]), 0));
+    reading.reserve(route_.models.size());
+    for (const auto& model : route_.models) {
+        reading.push_back(services_.balancer.reading_ms(job_of(model), 0));
     }
     const std::uint32_t attempts_left = route_.max_attempts - std::min(sends_, route_.max_attempts);
     const auto spent = std::chrono::duration_cast<millis>(services_.now() - began_);
