[gateway] The pace of a version with all traffic is not set beside that of stragglers

With all traffic the new version's engines carry twice what either version's carried at half the traffic, and keep a slower pace; the old version's last streams have idle engines. The floor of 20 answers of the old version does not tell stragglers from a version that serves.

Change: pace is judged only while the old version has at least half as many paced answers as the new one. Versions that turn slow later are still found by answers four times as slow as the old one's.

--- a/modules/gateway/include/hickorypost/gateway/rollout_judge.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_judge.h
@@ -37,6 +37,10 @@
     /// this many of the old version's in the window.
     rollout::test_options pace_test{.max_worse = 0.3, .confidence = 0.995, .floor_ratio = 0.25};
     std::uint64_t least_paced = 20;
+    /// Nor is it judged once the old version has less than this part of the new one's answers: its
+    /// stragglers have engines to themselves. Good versions that met twice the load on all traffic
+    /// were sent back for it (95 of 226 answers slow, old version 3 of 30).
+    double least_paced_part = 0.5;
     rollout::test_options test{.max_worse = 0.2, .confidence = 0.995, .floor_ratio = 0.02};
 };
 
--- a/modules/gateway/tests/parts_test.cpp
+++ b/modules/gateway/tests/parts_test.cpp
@@ -341,6 +341,26 @@
     BOOST_TEST((fair.status.phase == rollout_phase::completed));
 }
 
+// The new version has all traffic on as many engines as the old one had half of it on, and keeps a
+// slower pace there: 42 of 100 answers are slower than three quarters of the old version's. The few
+// streams that still end on the old one have its idle engines to themselves. Set beside those the
+// good version was sent back in its last seconds.
+BOOST_AUTO_TEST_CASE(the_pace_of_a_version_with_all_traffic_is_not_set_beside_that_of_stragglers)
+{
+    rollout_status status{"app", "v2", 20'000, rollout_phase::running, 1000, 14'000, {}};
+    rollout_judge judge{{}, [&](const rollout_status& it) { status = it; }};
+    judge.follow({{"app", status}}, start);
+    for (int step = 0; step < 12; ++step) {
+        const instant now = start + millis{step * 250};
+        judge.take({"app", "v2", {80, 0, 75, 32}}, now);
+        judge.take({"app", "v1", {4, 0, 4, 0}}, now);
+        judge.tick(now);
+        judge.follow({{"app", status}}, now);
+    }
+    BOOST_TEST((status.phase == rollout_phase::running));
+    BOOST_TEST(status.reason == "");
+}
+
 // A version that fails from the start, late, or only under load: each is sent back, with at most 15
 // in 100 of all requests on it.
 BOOST_AUTO_TEST_CASE(bad_versions_are_sent_back_with_bounded_exposure)
