[balancer] An idle plain backend server that was slow once is measured again

Change: what a mean exceeds the fastest one's by counts half as much after each second without a request, and the next answer then weighs as much more as the mean weighs less. One that is five times as slow for good gets a request in about six seconds.

Ruled out: drawing among idle ones by chance (a slow one would get its part of all requests); a fixed period (it depends on the rate of requests at one host, which is 12 a second at a hundred hosts).

After: more than 10 of 100 for the sound one, 2 to 23 of 400 for the slow one.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -64,6 +64,10 @@
     double slot_ms = 2000;
     /// Mean service time of a plain service's request before any was measured.
     double service_ms = 25;
+    /// What a plain backend server's mean service time exceeds the fastest one's by counts half as
+    /// much after each such time without a request. Else one slow answer leaves an idle one without
+    /// requests for good; one that is five times as slow gets a request in six seconds.
+    millis service_half_life{1000};
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
     /// Cost of a failure domain from which all streams are held up on their way. It competes with
@@ -138,6 +142,8 @@
         remote_load others; ///< all other processes' work
         double failure_ratio = 0;
         double service_ms = 0; ///< running mean; 0: none yet
+        double service_trust = 1; ///< of that mean, less the longer no request was answered
+        instant asked_at;         ///< when it last got a request
         std::uint32_t misses = 0;
         instant probation_until;
         instant full_until;
@@ -151,7 +157,7 @@
     /// What all candidates have in common for one choice.
     struct comparison {
         double failures = 0;   ///< mean failure ratio
-        double service_ms = 0; ///< of one that was not measured yet
+        double service_ms = 0; ///< of the fastest, and of one that was not measured yet
     };
 
     void set_options(std::span<const backend_entry* const> candidates);
@@ -161,6 +167,11 @@
     [[nodiscard]] comparison compare() const;
     [[nodiscard]] double cost_ms(const option& at, const job_size& job, const comparison& all,
                                  instant now) const;
+    /// What a plain request is likely to take there.
+    [[nodiscard]] double expected_service_ms(const backend_load& load, const comparison& all,
+                                             instant now) const;
+    /// How far a mean service time still holds after that time without a request, 0 to 1.
+    [[nodiscard]] double trust_after(micros idle) const;
     [[nodiscard]] double cached_tokens(const backend_load& load, const job_size& job, bool is_home,
                                        instant now) const;
 
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -3,7 +3,9 @@
 #include "hickorypost/base/ids.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <utility>
 
 namespace hickorypost::gateway {
 
@@ -119,8 +121,7 @@
             out += (running - slots + 1) * slot_ms_ / slots;
         }
     } else {
-        const double service = load.service_ms > 0 ? load.service_ms : all.service_ms;
-        out += service * (1 + running / slots);
+        out += expected_service_ms(load, all, now) * (1 + running / slots);
     }
     out += failure_cost_ms *
            std::max(0.0, load.failure_ratio - all.failures - settings_.failure_margin);
@@ -131,6 +132,21 @@
     return out;
 }
 
+double load_balancer::expected_service_ms(const backend_load& load, const comparison& all,
+                                          instant now) const
+{
+    if (load.service_ms <= 0) {
+        return all.service_ms;
+    }
+    return all.service_ms + (load.service_ms - all.service_ms) * trust_after(now - load.asked_at);
+}
+
+double load_balancer::trust_after(micros idle) const
+{
+    return std::exp2(-static_cast<double>(to_millis(idle)) /
+                     static_cast<double>(settings_.service_half_life.count()));
+}
+
 load_balancer::comparison load_balancer::compare() const
 {
     comparison out;
@@ -191,6 +207,7 @@
                       [&](const auto& it) { return now > it.second + settings_.prefix_memory; });
     }
     load.requests += 1;
+    load.service_trust *= trust_after(now - std::exchange(load.asked_at, now));
     const double reading = reading_ms(job, cached);
     load.reading_ms += reading;
     changed_(on.record.id, {load.requests, load.reading_ms});
@@ -215,9 +232,10 @@
     load.probation_until = {};
     if (!it.streaming) {
         const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
-        load.service_ms = load.service_ms == 0
-                              ? took
-                              : load.service_ms + service_time_weight * (took - load.service_ms);
+        const double weight = 1 - (1 - service_time_weight) * load.service_trust;
+        load.service_ms =
+            load.service_ms == 0 ? took : load.service_ms + weight * (took - load.service_ms);
+        load.service_trust = 1;
     }
 }
 
--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -82,4 +82,59 @@
     BOOST_TEST(engines.choose(job, start + millis{20'000}) == "far");
 }
 
+// Two equal plain backend servers, one request at a time. One answer of the first takes 45 ms instead
+// of 12 by chance. Both are idle then, and the other is a few milliseconds faster by its mean: it
+// got every later request, and the first stood idle though it is as fast.
+BOOST_AUTO_TEST_CASE(an_idle_backend_server_that_was_slow_once_is_measured_again)
+{
+    some_engines servers{2};
+    instant now = start;
+    const auto ask = [&](millis took) {
+        const std::string id = servers.choose({}, now);
+        auto it = servers.balancer.started(*servers.directory.find(id), {}, now);
+        now += took;
+        servers.balancer.first_answer(it, now);
+        servers.balancer.ended(it, attempt_result::answered, now);
+        now += millis{40};
+        return id;
+    };
+    while (ask(millis{12}) != "e1") {
+    }
+    while (ask(millis{12}) != "e0") {
+    }
+    auto slow = servers.balancer.started(*servers.directory.find("e0"), {}, now);
+    now += millis{60};
+    servers.balancer.first_answer(slow, now);
+    servers.balancer.ended(slow, attempt_result::answered, now);
+    int again = 0;
+    for (int n = 0; n < 100; ++n) { // five seconds
+        servers.directory.touch("e0", 2 + n, now);
+        servers.directory.touch("e1", 2 + n, now);
+        again += ask(millis{12}) == "e0" ? 1 : 0;
+    }
+    BOOST_TEST(again > 10);
+}
+
+// One of two plain backend servers takes five times as long for good. It is measured again now and
+// then, and nearly all requests go to the other.
+BOOST_AUTO_TEST_CASE(a_slow_backend_server_is_measured_seldom)
+{
+    some_engines servers{2};
+    instant now = start;
+    int slow = 0;
+    for (int n = 0; n < 400; ++n) { // twenty seconds
+        servers.directory.touch("e0", 2 + n, now);
+        servers.directory.touch("e1", 2 + n, now);
+        const std::string id = servers.choose({}, now);
+        auto it = servers.balancer.started(*servers.directory.find(id), {}, now);
+        now += id == "e0" ? millis{60} : millis{12};
+        servers.balancer.first_answer(it, now);
+        servers.balancer.ended(it, attempt_result::answered, now);
+        now += millis{40};
+        slow += id == "e0" ? 1 : 0;
+    }
+    BOOST_TEST(slow > 1);
+    BOOST_TEST(slow < 24);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
