[gateway] A stream on an attempt that counts already is watched for silence too

Cause: whether an attempt is left was reckoned as if the running one were not counted yet. It is, from the head of its answer on. So a stream that a larger model answers in the second of three attempts, as about half of all do, was not watched: it stood still until its connection was given up, three seconds or more.

Ruled out: the allowance of repeats (never short there), and patience itself (2 times the longest pause).

Before: the added test sees no third attempt. After: the stream goes on at another backend server after the usual patience.

--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -368,7 +368,8 @@
 {
     services_.timers.cancel(std::exchange(silence_timer_, 0));
     const bool stream = route_.kind == request_kind::streaming;
-    if (!may_repeat() || sends_ + 1 >= route_.max_attempts) {
+    const std::uint32_t begun = sends_ + (send_counted_ ? 0 : 1); // this attempt among them
+    if (!may_repeat() || begun >= route_.max_attempts) {
         return;
     }
     const auto& settings = services_.settings;
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -422,4 +422,22 @@
     BOOST_TEST(it.caller.body == "good");
 }
 
+// The small model's answer would not do, and the large one streams, in the second of three attempts
+// that the route allows, when its backend server falls silent. One attempt is left: the stream goes
+// on elsewhere after the usual patience, not only once the connection is given up.
+BOOST_AUTO_TEST_CASE(a_silent_stream_is_resumed_on_the_last_attempt_that_is_left)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) {
+        as_stream(route);
+        route.models = {"small", "large"};
+    });
+    it.answer(200, "", true, 0.1);
+    BOOST_REQUIRE(it.backends.attempts.size() == 2U);
+    it.answer(200, event(0));
+    it.timers.run_for(millis{1100});
+    BOOST_REQUIRE(it.backends.attempts.size() == 3U);
+    BOOST_TEST(it.backends.last().head == "model=large after=0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
