[gateway] Crashed and silent engines are found out once for all hosts

Cause 1: a crashed engine refuses connections and has no work, so it looks best to every balancer. Cause 2: a dark engine keeps its connections. Streams on it were left after 3 s, twice the longest pause, and each host found that out alone; with 12 requests a second over 180 engines a host seldom meets one twice.

Change: a silent engine is asked for a sign of life once its streams stand still for longer than its reading explains (liveness_probe); no answer within 280 ms, or a refused connection, is told to all hosts with the sequence of its newest heartbeat. The next heartbeat refutes it. A failure domain that alone cannot reach an engine keeps others from leaving it: they want word of two. Up to 12 refused connections are passed over.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -50,6 +51,9 @@
     /// The same for one whose leaving was told by its name alone: that may have been a late word of
     /// the start before.
     std::uint32_t beats_to_deny_leaving = 2;
+    /// Failure domains in which a backend server must have been found silent before processes of
+    /// other domains leave it too: what one domain alone cannot reach is cut off from there.
+    std::size_t domains_to_doubt = 2;
 };
 
 /// A backend server in the directory.
@@ -59,6 +63,10 @@
     bool replaced = false; ///< another incarnation has registered at its address since
     std::uint32_t beats_since_replaced = 0;
     bool silent = false; ///< as `expire` last saw it
+    /// Failure domains in which it gave no sign of life to a process that asked, since its newest
+    /// heartbeat.
+    std::set<std::string, std::less<>> doubting;
+    std::uint64_t doubted_at = 0; ///< sequence of its newest heartbeat then
 };
 
 /// The backend servers of all services, by incarnation, sequence and address. Soft state that each
@@ -69,13 +77,19 @@
 /// believed of it.
 class backend_directory {
 public:
-    explicit backend_directory(directory_settings settings) : settings_{settings} {}
+    explicit backend_directory(directory_settings settings, std::string own_domain = {})
+        : settings_{settings}, own_domain_{std::move(own_domain)}
+    {
+    }
 
     enum class change : std::uint8_t { none, touched, changed };
     /// Takes a heartbeat; one that is older than what is known changes nothing.
     change take(const backend_record& record, instant now);
     /// Takes a heartbeat without its content: the incarnation lives. True if that is news.
     bool touch(std::string_view id, std::uint64_t sequence, instant now);
+    /// A process in that failure domain got no sign of life from it, when `sequence` was its newest
+    /// heartbeat known. It counts as silent until the next. True if that is news.
+    bool doubt(std::string_view id, std::uint64_t sequence, std::string_view domain);
     /// The incarnation has left, or was seen not to be at its address any more.
     bool remove(std::string_view id, instant now);
     /// Incarnations that a newer start under their name has replaced since the last call. Nothing
@@ -98,7 +112,13 @@
                                                            instant now) const;
     [[nodiscard]] bool stale(const backend_entry& it, instant now) const
     {
-        return now > it.heard + settings_.stale_after;
+        return now > it.heard + settings_.stale_after || doubted(it);
+    }
+    /// Whether enough processes found it silent since its newest heartbeat.
+    [[nodiscard]] bool doubted(const backend_entry& it) const
+    {
+        return it.doubting.contains(own_domain_) ||
+               it.doubting.size() >= settings_.domains_to_doubt;
     }
     /// All records, tombstones included, for another process's first fill.
     [[nodiscard]] std::vector<backend_record> all() const;
@@ -126,7 +146,11 @@
     void claim_address(backend_entry& it);
     void release_address(const backend_entry& it);
 
+    /// A heartbeat of that sequence has come: what was doubted before it is refuted.
+    static void end_doubt(backend_entry& it, std::uint64_t sequence);
+
     directory_settings settings_;
+    std::string own_domain_;
     std::map<std::string, backend_entry, std::less<>> entries_;
     std::map<std::string, tombstone, std::less<>> tombstones_;
     std::map<std::string, start_mark, std::less<>> newest_;      ///< by name
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "hickorypost/gateway/backend_directory.h"
 #include "hickorypost/gateway/event_splitter.h"
 #include "hickorypost/gateway/exchange_types.h"
+#include "hickorypost/gateway/liveness_probe.h"
 #include "hickorypost/gateway/model_choice.h"
 #include "hickorypost/gateway/retry_window.h"
 #include "hickorypost/gateway/rollout_view.h"
@@ -18,8 +19,11 @@
     millis answer_margin{20};
     /// With less time left than this a further attempt is not worth its work.
     millis least_attempt{30};
-    /// Attempts that found no connection, beyond which a request is not placed again.
-    std::uint32_t most_unsent = 4;
+    /// Attempts that found no connection, beyond which a request is not placed again. A refusal
+    /// takes a few milliseconds, and a quarter of all engines may have crashed at once: with 4 one
+    /// request in three was refused in the two seconds after that, while three quarters of the
+    /// engines served.
+    std::uint32_t most_unsent = 12;
     /// A plain answer up to this size is kept back until it is whole, so that one that breaks off
     /// can still be asked for elsewhere.
     std::size_t held_bytes = std::size_t{256} << 10U;
@@ -34,6 +38,15 @@
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
     double plain_silence_factor = 3.0;
+    /// Silence of an engine, in parts of the route's targets and beyond the time for which it reads
+    /// prompts, after which it is asked for a sign of life. With the time for the answer and for
+    /// another engine's first event (0.3 s at the median) a stream goes on within its longest
+    /// pause.
+    double doubt_part = 0.35;
+    /// But not before this long: engines take as long for an ordinary first event.
+    millis least_doubt{400};
+    /// Silent engines are asked for a sign of life.
+    bool doubts_silence = true;
     /// Broken streams go on at another backend server where their route allows it.
     bool resumes = true;
     /// When a request that was refused for lack of room may come back, spread over a span so that
@@ -87,6 +100,7 @@
     model_choice& models;
     std::map<std::string, retry_window>& windows; ///< by service
     attempt_port& backends;
+    liveness_probe& liveness;
     scheduler& timers;
     clock_fn now;
     random_fn random;
@@ -154,8 +168,11 @@
     void give_up(std::string_view why);
     void refuse(unsigned status, std::string_view why);
     void deadline_passed();
+    void stop_watching();
     void watch_silence();
-    void silence_passed();
+    void watch_doubt(millis target, millis patience);
+    void ask_for_life();
+    void leave_silent(std::string_view why);
     void finish(exchange_outcome outcome, unsigned status, std::string_view why);
 
     enum class stage : std::uint8_t {
@@ -178,8 +195,11 @@
     instant deadline_;
     std::uint64_t deadline_timer_ = 0;
     std::uint64_t silence_timer_ = 0;
+    std::uint64_t doubt_timer_ = 0;
+    std::uint64_t question_ = 0; ///< to `liveness`, about the current attempt
 
     std::unique_ptr<attempt> current_;
+    attempt_target target_; ///< of the current attempt
     std::optional<load_balancer::ticket> ticket_;
     std::vector<std::string> tried_;
     instant attempt_began_;
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -131,6 +131,8 @@
     /// Milliseconds that an ordinary engine takes to read a prompt of which `cached` tokens are
     /// kept.
     [[nodiscard]] double reading_ms(const job_size& job, double cached) const;
+    /// How long a backend server still reads prompts, by what this process knows of all work there.
+    [[nodiscard]] millis reading_left(const std::string& backend) const;
     /// The work of all other processes on a backend server.
     void set_others(const std::string& backend, const remote_load& others);
     void forget(const std::string& backend);
@@ -141,7 +143,7 @@
         double reading_ms = 0;
         remote_load others; ///< all other processes' work
         double failure_ratio = 0;
-        double service_ms = 0; ///< running mean; 0: none yet
+        double service_ms = 0;    ///< running mean; 0: none yet
         double service_trust = 1; ///< of that mean, less the longer no request was answered
         instant asked_at;         ///< when it last got a request
         std::uint32_t misses = 0;
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -54,6 +54,7 @@
         it.record.state = backend_state::draining;
     }
     it.heard = now;
+    end_doubt(it, record.sequence);
     claim_address(it);
     return differs ? change::changed : change::touched;
 }
@@ -156,10 +157,32 @@
     backend_entry& it = found->second;
     it.record.sequence = sequence;
     it.heard = now;
+    end_doubt(it, sequence);
     claim_address(it);
     return true;
 }
 
+bool backend_directory::doubt(std::string_view id, std::uint64_t sequence, std::string_view domain)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || sequence < found->second.record.sequence) {
+        return false; // it has been heard of since
+    }
+    backend_entry& it = found->second;
+    if (sequence > it.doubted_at) {
+        it.doubting.clear();
+        it.doubted_at = sequence;
+    }
+    return sequence == it.doubted_at && it.doubting.emplace(domain).second;
+}
+
+void backend_directory::end_doubt(backend_entry& it, std::uint64_t sequence)
+{
+    if (sequence > it.doubted_at) {
+        it.doubting.clear();
+    }
+}
+
 bool backend_directory::remove(std::string_view id, instant now)
 {
     return bury(id, {now, {}, 0, 0});
--- a/modules/gateway/src/decision_settings.cpp
+++ b/modules/gateway/src/decision_settings.cpp
@@ -16,6 +16,8 @@
 constexpr std::array table{
     mechanism{"cold_start_hold", "requests wait while a started process learns the newest state",
               [](all_settings& it) { it.start_hold = millis{0}; }},
+    mechanism{"doubt", "silent engines are asked for a sign of life",
+              [](all_settings& it) { it.exchange.doubts_silence = false; }},
     mechanism{"failure_margin", "backend servers that fail more often than others are avoided",
               [](all_settings& it) { it.balancer.failure_margin = 1; }},
     mechanism{"held_up_streams", "long prompts go where they hold up few streams",
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -93,7 +93,7 @@
 exchange::~exchange()
 {
     services_.timers.cancel(deadline_timer_);
-    services_.timers.cancel(silence_timer_);
+    stop_watching();
     if (ticket_) {
         services_.balancer.ended(*ticket_, attempt_result::dropped, services_.now());
     }
@@ -244,16 +244,16 @@
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::waiting;
     events_.restart();
     ticket_ = services_.balancer.started(to, job, now);
-    attempt_target target{to.record.id, to.record.address, record_.service,
-                          service_ == nullptr ? 0 : service_->max_connections};
-    current_ = services_.backends.start(target, services_.write_head(request_, order),
+    target_ = {to.record.id, to.record.address, record_.service,
+               service_ == nullptr ? 0 : service_->max_connections};
+    current_ = services_.backends.start(target_, services_.write_head(request_, order),
                                         request_.body, request_.method == "HEAD", *this);
     watch_silence();
 }
 
 void exchange::end_attempt(attempt_result how)
 {
-    services_.timers.cancel(std::exchange(silence_timer_, 0));
+    stop_watching();
     current_.reset();
     if (!ticket_) {
         return;
@@ -364,9 +364,16 @@
     refuse(may_have_run_ ? status_timeout : status_unavailable, "time is over");
 }
 
-void exchange::watch_silence()
+void exchange::stop_watching()
 {
     services_.timers.cancel(std::exchange(silence_timer_, 0));
+    services_.timers.cancel(std::exchange(doubt_timer_, 0));
+    services_.liveness.cancel(std::exchange(question_, 0));
+}
+
+void exchange::watch_silence()
+{
+    stop_watching();
     const bool stream = route_.kind == request_kind::streaming;
     const std::uint32_t begun = sends_ + (send_counted_ ? 0 : 1); // this attempt among them
     if (!may_repeat() || begun >= route_.max_attempts) {
@@ -383,11 +390,39 @@
     const millis wait = std::min(patience, time_left() / 2);
     silence_timer_ = services_.timers.add(services_.now() + wait, [this] {
         silence_timer_ = 0;
-        silence_passed();
+        leave_silent("backend server silent");
     });
+    watch_doubt(target, wait);
 }
 
-void exchange::silence_passed()
+void exchange::watch_doubt(millis target, millis patience)
+{
+    const auto& settings = services_.settings;
+    const bool on_engine = service_ != nullptr && service_->engine.has_value();
+    const auto part = static_cast<double>(target.count()) * settings.doubt_part;
+    // While it reads, its streams stand still by right.
+    const millis wait = std::max(settings.least_doubt, millis{static_cast<std::int64_t>(part)}) +
+                        services_.balancer.reading_left(target_.backend);
+    if (!settings.doubts_silence || !on_engine || wait >= patience) {
+        return;
+    }
+    doubt_timer_ = services_.timers.add(services_.now() + wait, [this] {
+        doubt_timer_ = 0;
+        ask_for_life();
+    });
+}
+
+void exchange::ask_for_life()
+{
+    question_ = services_.liveness.ask(target_, [this](bool alive) {
+        question_ = 0;
+        if (!alive) {
+            leave_silent("backend server gives no sign of life");
+        }
+    });
+}
+
+void exchange::leave_silent(std::string_view why)
 {
     if (over_ || !current_) {
         return;
@@ -399,8 +434,7 @@
     }
     end_attempt(attempt_result::unreachable);
     tried_.push_back(record_.backend);
-    services_.note(record_, stage_ == stage::relaying ? "resumed" : "retried",
-                   "backend server silent");
+    services_.note(record_, stage_ == stage::relaying ? "resumed" : "retried", why);
     if (stage_ != stage::relaying) {
         stage_ = stage::waiting;
         failure_head_.reset();
@@ -428,7 +462,7 @@
 {
     over_ = true;
     services_.timers.cancel(std::exchange(deadline_timer_, 0));
-    services_.timers.cancel(std::exchange(silence_timer_, 0));
+    stop_watching();
     record_.outcome = outcome;
     record_.status = status;
     record_.reason = why;
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -271,6 +271,9 @@
     } else {
         ++unsent_;
     }
+    if (fault == attempt_fault::not_sent && services_.settings.doubts_silence) {
+        services_.liveness.saw_refusal(record_.backend);
+    }
     const bool broke = fault == attempt_fault::broken || head_seen;
     if (fault == attempt_fault::no_room) {
         end_attempt(attempt_result::refused);
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -287,6 +287,16 @@
     }
 }
 
+millis load_balancer::reading_left(const std::string& backend) const
+{
+    const auto found = loads_.find(backend);
+    if (found == loads_.end()) {
+        return millis{0};
+    }
+    const backend_load& load = found->second;
+    return millis{static_cast<std::int64_t>(load.reading_ms + load.others.reading_ms)};
+}
+
 void load_balancer::set_others(const std::string& backend, const remote_load& others)
 {
     loads_[backend].others = settings_.heeds_others ? others : remote_load{};
--- a/modules/gateway/tests/backend_directory_test.cpp
+++ b/modules/gateway/tests/backend_directory_test.cpp
@@ -171,4 +171,54 @@
     }
 }
 
+// An engine goes dark: it keeps its connections and answers nothing. Each of a hundred processes
+// meets it once in many seconds, so its own requests would teach it nothing in time. One that got
+// no sign of life says so; processes of its failure domain leave the engine at once, others when a
+// second domain says the same, and all come back with its next heartbeat.
+BOOST_AUTO_TEST_CASE(a_backend_server_that_others_found_silent_is_left_until_its_next_heartbeat)
+{
+    backend_directory it{{}, "a"};
+    it.take(beat("dark", 0, 5, "h:1"), start);
+    it.take(beat("sound", 0, 5, "h:2"), start);
+    const std::vector<std::string> both{"dark", "sound"};
+    const std::vector<std::string> one{"sound"};
+    BOOST_TEST(it.doubt("dark", 5, "b"));
+    BOOST_TEST(!it.doubt("dark", 5, "b"));
+    BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
+    BOOST_TEST(it.doubt("dark", 5, "c"));
+    BOOST_TEST(usable(it) == one, boost::test_tools::per_element());
+    it.touch("dark", 6, start);
+    BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
+    BOOST_TEST(it.doubt("dark", 6, "a"));
+    BOOST_TEST(usable(it) == one, boost::test_tools::per_element());
+    it.take(beat("dark", 0, 7, "h:1"), start);
+    BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
+}
+
+// Word of silence comes late, after a newer heartbeat, and early, before the heartbeat that it
+// names has come. The one says nothing; the other holds until a newer one.
+BOOST_AUTO_TEST_CASE(doubts_and_heartbeats_come_in_any_order)
+{
+    backend_directory it{{}, "a"};
+    it.take(beat("b", 0, 5), start);
+    it.take(beat("other", 0, 1, "h:2"), start);
+    BOOST_TEST(!it.doubt("b", 4, "a"));
+    BOOST_TEST(usable(it).size() == 2U);
+    BOOST_TEST(it.doubt("b", 7, "a"));
+    it.touch("b", 7, start);
+    BOOST_TEST(usable(it).size() == 1U);
+    it.touch("b", 8, start);
+    BOOST_TEST(usable(it).size() == 2U);
+}
+
+// All engines are doubted, as from a process that is cut off from everything. They are used as
+// before: there is nothing better.
+BOOST_AUTO_TEST_CASE(doubted_backend_servers_are_used_where_no_other_is_left)
+{
+    backend_directory it{{}, "a"};
+    it.take(beat("b", 0, 5), start);
+    it.doubt("b", 5, "a");
+    BOOST_TEST(usable(it).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -76,6 +76,14 @@
 
     testing::fake_scheduler timers;
     testing::fake_backends backends;
+    testing::fake_backends probes;
+    std::vector<std::string> found_silent;
+    liveness_probe liveness{{},
+                            probes,
+                            timers,
+                            [this] { return timers.now; },
+                            [](const attempt_target&) { return std::string{"alive?"}; },
+                            [this](const std::string& it) { found_silent.push_back(it); }};
     testing::fake_caller caller;
     backend_directory directory{{}};
     load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
@@ -92,6 +100,7 @@
         models,
         windows,
         backends,
+        liveness,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
@@ -132,6 +141,14 @@
     it.target_gap = millis{500};
 }
 
+/// A service of engines: silent ones are asked for a sign of life.
+void on_engines(one_gateway& it)
+{
+    site_config config = it.table->config();
+    config.services.front().engine.emplace();
+    it.table = std::make_shared<const route_table>(config);
+}
+
 std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
@@ -440,4 +457,102 @@
     BOOST_TEST(it.backends.last().head == "model=large after=0");
 }
 
+// An engine goes dark in the middle of a stream. After a third of the longest pause it is asked for
+// a sign of life, gives none, and the stream goes on elsewhere before that pause is over. Others
+// hear of the engine.
+BOOST_AUTO_TEST_CASE(a_stream_leaves_an_engine_that_gives_no_sign_of_life)
+{
+    one_gateway it;
+    on_engines(it);
+    it.ask([](route_spec& route) {
+        as_stream(route);
+        route.target_gap = millis{1500};
+    });
+    it.answer(200, event(0));
+    const std::string dark = it.backends.last().target.backend;
+    it.timers.run_for(millis{500});
+    BOOST_TEST(it.probes.attempts.empty());
+    it.timers.run_for(millis{400});
+    BOOST_REQUIRE(it.probes.attempts.size() == 1U);
+    BOOST_TEST(it.probes.last().target.backend == dark);
+    BOOST_REQUIRE(it.backends.attempts.size() == 2U);
+    BOOST_TEST(it.backends.last().head == "model= after=0");
+    BOOST_REQUIRE(it.found_silent.size() == 1U);
+    BOOST_TEST(it.found_silent.front() == dark);
+}
+
+// The engine reads a long prompt: its streams pause, and it answers the question. The stream stays,
+// and is left only after the usual patience.
+BOOST_AUTO_TEST_CASE(a_stream_stays_with_an_engine_that_gives_a_sign_of_life)
+{
+    one_gateway it;
+    on_engines(it);
+    it.ask([](route_spec& route) {
+        as_stream(route);
+        route.target_gap = millis{1500};
+    });
+    it.answer(200, event(0));
+    it.timers.run_for(millis{600});
+    BOOST_REQUIRE(it.probes.attempts.size() == 1U);
+    http1::response_head head;
+    it.probes.last().events->on_head(head);
+    it.probes.last().events->on_complete();
+    it.timers.run_for(millis{1200});
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+    BOOST_TEST(it.found_silent.empty());
+    it.answer(200, event(1));
+    BOOST_TEST(it.caller.body == event(0) + event(1));
+}
+
+// Requests of which no second run is allowed wait for their answer however silent it is there, and
+// nobody asks. A refused connection to an engine says that something is there.
+BOOST_AUTO_TEST_CASE(only_silence_of_an_engine_that_can_be_left_is_doubted)
+{
+    one_gateway it;
+    on_engines(it);
+    it.ask(as_unsafe);
+    it.timers.run_for(millis{3000});
+    BOOST_TEST(it.probes.attempts.empty());
+    it.ask(as_stream);
+    it.timers.run_for(millis{450});
+    BOOST_REQUIRE(it.probes.attempts.size() == 1U);
+    it.probes.last().events->on_fault(attempt_fault::not_sent);
+    it.timers.run_for(millis{300});
+    BOOST_TEST(it.found_silent.empty());
+}
+
+// Six of nine backend servers have crashed and refuse connections. They have no work, so they look
+// best, and the request meets them one after the other. It reaches a sound one all the same, and
+// all hosts hear of each that nobody listens at.
+BOOST_AUTO_TEST_CASE(a_request_gets_past_many_crashed_backend_servers)
+{
+    one_gateway it;
+    for (const auto* id : {"b4", "b5", "b6", "b7", "b8", "b9"}) {
+        it.add_backend(id);
+    }
+    it.ask(as_unsafe);
+    for (int n = 0; n < 6; ++n) {
+        it.fault(attempt_fault::not_sent);
+    }
+    BOOST_REQUIRE(it.backends.attempts.size() == 7U);
+    it.answer(200, "good");
+    it.complete();
+    BOOST_TEST(it.caller.body == "good");
+    BOOST_TEST(it.found_silent.size() == 6U);
+}
+
+// Other hosts have a long prompt on the engine, which reads it for two seconds. That its streams
+// stand still meanwhile says nothing of it: nobody asks.
+BOOST_AUTO_TEST_CASE(silence_of_an_engine_that_reads_is_not_doubted)
+{
+    one_gateway it;
+    on_engines(it);
+    for (const auto* id : {"b1", "b2", "b3"}) {
+        it.balancer.set_others(id, {1, 2000});
+    }
+    it.ask(as_stream, millis{4900});
+    it.timers.run_for(millis{900});
+    BOOST_TEST(it.probes.attempts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -48,6 +48,7 @@
     load_report = 67,
     version_report = 68,
     session_pins = 69,
+    backend_doubt = 70,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -424,6 +425,15 @@
     std::vector<std::uint64_t> sessions;
 };
 
+/// A backend server gave no sign of life to a host in that failure domain that asked for one, when
+/// `sequence` was its newest heartbeat known.
+struct backend_doubt {
+    static constexpr auto type = message_type::backend_doubt;
+    std::string id;
+    std::uint64_t sequence = 0;
+    std::string failure_domain;
+};
+
 /// What a host saw of versions in a roll-out since its last report; to the leader.
 struct version_report {
     static constexpr auto type = message_type::version_report;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -112,6 +112,25 @@
     }
 }
 
+void backend_feed::take_silence(const std::string& backend)
+{
+    const auto* const it = directory_.find(backend);
+    if (it != nullptr) {
+        take_doubt(mesh_.self(), {backend, it->record.sequence, env_.config.node.failure_domain});
+    }
+}
+
+void backend_feed::take_doubt(const node_id& from, const wire::backend_doubt& doubt)
+{
+    // At most one for each failure domain goes on between two heartbeats of a backend server.
+    if (!directory_.doubt(doubt.id, doubt.sequence, doubt.failure_domain)) {
+        return;
+    }
+    env_.log->info("backend server {} gave no sign of life in {} since its heartbeat {}", doubt.id,
+                   doubt.failure_domain, doubt.sequence);
+    spread(doubt, from);
+}
+
 void backend_feed::send_all(const node_id& to)
 {
     wire::backend_update out;
@@ -211,6 +230,11 @@
             spread(*it, from);
         }
         return true;
+    case wire::message_type::backend_doubt:
+        if (const auto it = wire::try_decode<wire::backend_doubt>(body)) {
+            take_doubt(from, *it);
+        }
+        return true;
     case wire::message_type::load_report:
         if (const auto it = wire::try_decode<wire::load_report>(body)) {
             loads_.take_report(from, *it);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -45,7 +45,8 @@
 } // namespace
 
 gateway_role::gateway_role(runtime& env)
-    : env_{env}, config_{*env.config.gateway}, timers_{env.now}, directory_{{}},
+    : env_{env}, config_{*env.config.gateway}, timers_{env.now},
+      directory_{{}, env.config.node.failure_domain},
       balancer_{config_.decisions.balancer, env.config.node.failure_domain, env.random,
                 [this](const std::string& backend, const gateway::remote_load& own) {
                     if (feed_) {
@@ -54,6 +55,12 @@
                 }},
       rollouts_{env.random, config_.session + longest_request}, models_{config_.decisions.models},
       pool_{poller_, timers_, env.now, [this] { return control_->hosts(); }, {}},
+      liveness_{{},
+                pool_,
+                timers_,
+                env.now,
+                platform::encode_liveness_question,
+                [this](const std::string& backend) { feed_->take_silence(backend); }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -61,6 +68,7 @@
                 models_,
                 windows_,
                 pool_,
+                liveness_,
                 timers_,
                 env.now,
                 env.random,
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -70,6 +70,7 @@
     gateway::model_choice models_;
     std::map<std::string, gateway::retry_window> windows_;
     backend_pool pool_;
+    gateway::liveness_probe liveness_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
