--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -82,9 +82,9 @@
     BOOST_TEST(engines.choose(job, start + millis{20'000}) == "far");
 }
 
-// Two equal plain backend servers, one request at a time. One answer of the first takes 45 ms instead
-// of 12 by chance. Both are idle then, and the other is a few milliseconds faster by its mean: it
-// got every later request, and the first stood idle though it is as fast.
+// Two equal plain backend servers, one request at a time. One answer of the first takes 45 ms
+// instead of 12 by chance. Both are idle then, and the other is a few milliseconds faster by its
+// mean: it got every later request, and the first stood idle though it is as fast.
 BOOST_AUTO_TEST_CASE(an_idle_backend_server_that_was_slow_once_is_measured_again)
 {
     some_engines servers{2};
