--- a/modules/gateway/src/liveness_probe.cpp
+++ b/modules/gateway/src/liveness_probe.cpp
@@ -33,7 +33,8 @@
     }
     void on_body(std::string_view) override {}
     void on_complete() override { end(); }
-    /// A connection that is refused or reset says that something is there, be it only too busy.
+    /// A connection that is refused or reset ends what runs there by itself. The question is only
+    /// about silence.
     void on_fault(attempt_fault) override { end(); }
 
     std::vector<waiter> waiting;
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -154,6 +154,17 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+/// A stream that may pause for 1.5 s has had its first event from an engine.
+void begin_stream_on_engine(one_gateway& it)
+{
+    on_engines(it);
+    it.ask([](route_spec& route) {
+        as_stream(route);
+        route.target_gap = millis{1500};
+    });
+    it.answer(200, event(0));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_exchange)
@@ -463,12 +474,7 @@
 BOOST_AUTO_TEST_CASE(a_stream_leaves_an_engine_that_gives_no_sign_of_life)
 {
     one_gateway it;
-    on_engines(it);
-    it.ask([](route_spec& route) {
-        as_stream(route);
-        route.target_gap = millis{1500};
-    });
-    it.answer(200, event(0));
+    begin_stream_on_engine(it);
     const std::string dark = it.backends.last().target.backend;
     it.timers.run_for(millis{500});
     BOOST_TEST(it.probes.attempts.empty());
@@ -486,12 +492,7 @@
 BOOST_AUTO_TEST_CASE(a_stream_stays_with_an_engine_that_gives_a_sign_of_life)
 {
     one_gateway it;
-    on_engines(it);
-    it.ask([](route_spec& route) {
-        as_stream(route);
-        route.target_gap = millis{1500};
-    });
-    it.answer(200, event(0));
+    begin_stream_on_engine(it);
     it.timers.run_for(millis{600});
     BOOST_REQUIRE(it.probes.attempts.size() == 1U);
     http1::response_head head;
@@ -505,7 +506,7 @@
 }
 
 // Requests of which no second run is allowed wait for their answer however silent it is there, and
-// nobody asks. A refused connection to an engine says that something is there.
+// nobody asks. A question whose connection is refused is no word of silence.
 BOOST_AUTO_TEST_CASE(only_silence_of_an_engine_that_can_be_left_is_doubted)
 {
     one_gateway it;
