--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -90,7 +90,7 @@
     some_engines servers{2};
     instant now = start;
     const auto ask = [&](millis took) {
-        const std::string id = servers.choose({}, now);
+        std::string id = servers.choose({}, now);
         auto it = servers.balancer.started(*servers.directory.find(id), {}, now);
         now += took;
         servers.balancer.first_answer(it, now);
