--- /dev/null
+++ b/modules/gateway/tests/one_gateway.h
@@ -0,0 +1,155 @@
+#pragma once
+/// A gateway process as a request sees it, with fakes at all ports, and routes of each kind.
+
+#include "fakes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickorypost::testing {
+
+using namespace gateway;
+
+/// One gateway process with fakes around it.
+struct one_gateway {
+    one_gateway()
+    {
+        site_config config;
+        config.version = 3;
+        route_spec route;
+        route.name = "r";
+        route.host = "a";
+        route.path_prefix = "/";
+        route.kind = request_kind::safe;
+        route.timeout = millis{5000};
+        route.target_latency = millis{500};
+        route.max_attempts = 3;
+        route.services = {{"app", 1}};
+        config.routes.push_back(route);
+        config.services.push_back({"app", "/healthz", 100, std::nullopt});
+        table = std::make_shared<const route_table>(config);
+        for (const auto* id : {"b1", "b2", "b3"}) {
+            add_backend(id);
+        }
+    }
+
+    void add_backend(const std::string& id)
+    {
+        directory.take({id, "app", id + ":1", "d", "v1", 4, backend_state::ready, 0, 1},
+                       timers.now);
+    }
+
+    /// A request on a route changed by `change`.
+    exchange& ask(const std::function<void(route_spec&)>& change, millis wait = millis{4000})
+    {
+        asked_route = table->config().routes.front();
+        change(asked_route);
+        caller_request request;
+        request.id = "q";
+        request.method = "POST";
+        request.target = "/x";
+        request.wait = wait;
+        request.any_model = !asked_route.models.empty();
+        request.arrived = timers.now;
+        way = std::make_unique<exchange>(services, caller, std::move(request), table, asked_route,
+                                         nullptr);
+        way->start();
+        return *way;
+    }
+
+    void answer(unsigned status, const std::string& body, bool ran = true, double confidence = 1)
+    {
+        auto* const events = backends.last().events;
+        http1::response_head head;
+        head.status = status;
+        head.fields.add("X-Ran", ran ? "1" : "0");
+        head.fields.add("X-Confidence", std::to_string(confidence));
+        const std::size_t before = backends.attempts.size();
+        events->on_head(head);
+        if (!ran || backends.attempts.size() != before) {
+            return;
+        }
+        if (!body.empty()) {
+            events->on_body(body);
+        }
+    }
+
+    void complete() { backends.last().events->on_complete(); }
+    void fault(attempt_fault how) { backends.last().events->on_fault(how); }
+
+    fake_scheduler timers;
+    fake_backends backends;
+    fake_backends probes;
+    std::vector<std::string> found_silent;
+    liveness_probe liveness{{},
+                            probes,
+                            timers,
+                            [this] { return timers.now; },
+                            [](const attempt_target&) { return std::string{"alive?"}; },
+                            [this](const std::string& it) { found_silent.push_back(it); }};
+    fake_caller caller;
+    backend_directory directory{{}};
+    load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
+    rollout_view rollouts{seeded_random_fn(6), millis{10'000}};
+    model_choice models{{}};
+    std::map<std::string, retry_window> windows;
+    std::vector<exchange_record> records;
+    route_table_ptr table;
+    route_spec asked_route;
+    exchange_services services{
+        directory,
+        balancer,
+        rollouts,
+        models,
+        windows,
+        backends,
+        liveness,
+        timers,
+        [this] { return timers.now; },
+        seeded_random_fn(7),
+        {},
+        {.ratio = 1, .slack = 100},
+        [] { return std::size_t{1}; },
+        [](const caller_request&, const attempt_order& order) {
+            return "model=" + order.model + " after=" +
+                   std::to_string(order.last_event_id ? static_cast<int>(*order.last_event_id)
+                                                      : -1);
+        },
+        [](const http1::response_head& head) {
+            backend_answer out;
+            out.status = head.status;
+            out.ran = head.fields.find("X-Ran") != "0";
+            out.wrong_backend = head.status == 421;
+            out.signed_body = !head.fields.find("X-Unsigned");
+            out.request_id = head.fields.find("X-Id").value_or("q");
+            out.confidence = std::stod(std::string{head.fields.find("X-Confidence").value_or("1")});
+            return out;
+        },
+        [this](const exchange_record& it) { records.push_back(it); },
+        [](const exchange_record&, std::string_view, std::string_view) {}};
+    std::unique_ptr<exchange> way;
+};
+
+inline void as_is(route_spec&) {}
+
+inline void as_unsafe(route_spec& it)
+{
+    it.kind = request_kind::unsafe;
+}
+
+inline void as_stream(route_spec& it)
+{
+    it.kind = request_kind::streaming;
+    it.resumable = true;
+    it.target_gap = millis{500};
+}
+
+/// One event of a stream.
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+} // namespace hickorypost::testing
