--- a/modules/net/include/hickorypost/net/connector.h
+++ b/modules/net/include/hickorypost/net/connector.h
@@ -13,8 +13,10 @@
 };
 
 struct connector_options {
+    /// Pause after the first failure; it doubles with each further one, up to the longest.
     millis first_retry{50};
     millis longest_retry{2000};
+    /// A connection that is not up after this long is given up.
     millis connect_limit{2000};
     link_options link;
 };
