[gateway] A connection is closed after its caller has closed; lost answers are logged

What callers saw: a caller that was still sending a body over the limit got a reset connection instead of the 413.

Cause: close() on a socket with unread input resets the connection and discards what the peer has not yet read. The host closed at once after the last answer on a connection.

Evidence: caller_connection/refusal_reaches_caller_that_is_still_sending_its_body failed on the code before (status 0 instead of 413, on both routes) and passes now.

Change: the host shuts down its side of the connection, discards what still arrives, and closes when the caller has closed, after 2 s at the latest. Idle connections are still closed at once: a request that crosses that close has not been read.

Now: connection_lost (state, closed_by, unsent_bytes), a metric of the same, and broken_off for what the host ends.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -130,9 +130,11 @@
     exchange& operator=(const exchange&) = delete;
 
     void start();
-    /// The caller has closed its connection: what runs for it is cancelled at once.
+    /// The caller has closed its connection: the current attempt is cancelled.
     void caller_left();
-    /// The caller has taken all bytes that waited.
+    /// This host is about to close the caller's connection: the current attempt is cancelled.
+    void host_closes();
+    /// The caller has taken all buffered bytes.
     void caller_drained();
     [[nodiscard]] bool over() const noexcept { return over_; }
     [[nodiscard]] const std::string& id() const noexcept { return request_.id; }
@@ -167,6 +169,7 @@
     void deliver_held();
     void give_up(std::string_view why);
     void refuse(unsigned status, std::string_view why);
+    void abandon(exchange_outcome outcome, std::string_view why);
     void deadline_passed();
     void stop_watching();
     void watch_silence();
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -365,12 +365,22 @@
 }
 
 void exchange::caller_left()
+{
+    abandon(exchange_outcome::caller_left, "caller closed its connection");
+}
+
+void exchange::host_closes()
+{
+    abandon(exchange_outcome::broken_off, "this host closed the caller's connection");
+}
+
+void exchange::abandon(exchange_outcome outcome, std::string_view why)
 {
     if (over_) {
         return;
     }
     end_attempt(attempt_result::dropped);
-    finish(exchange_outcome::caller_left, 0, "caller closed its connection");
+    finish(outcome, 0, why);
 }
 
 void exchange::caller_drained()
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -59,8 +59,11 @@
     /// Stops or resumes taking bytes; ends are noticed all the same.
     void set_reading(bool on);
 
-    /// Writes what waits as far as the socket takes it, without waiting for the end of the turn.
+    /// Writes buffered bytes as far as the socket takes them, without waiting for the end of the turn.
     void write_now() { write_out(); }
+    /// Tells the peer that nothing follows what has been written. Bytes still arrive until it closes.
+    /// Requires that nothing is unsent.
+    void shut_down_output() const;
     [[nodiscard]] std::size_t unsent() const noexcept { return out_.size(); }
     /// Some bytes were handed to the kernel, so the peer may have read them.
     [[nodiscard]] bool sent_any() const noexcept { return sent_any_; }
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -176,6 +176,14 @@
     release();
 }
 
+void tcp_stream::shut_down_output() const
+{
+    if (fd_ >= 0) {
+        // Fails only if the peer has reset the connection, which the reading side reports.
+        (void)::shutdown(fd_, SHUT_WR);
+    }
+}
+
 void tcp_stream::set_reading(bool on)
 {
     reading_ = on;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned status_not_modified = 304;
 /// Unacknowledged bytes or unanswered probes after which a caller's connection is dead.
 constexpr millis silence_limit{10'000};
+/// How long a caller may take to close its side after the last answer.
+constexpr millis linger_limit{2'000};
 
 bool has_no_body(unsigned status)
 {
@@ -85,6 +87,9 @@
 
 void caller_connection::take(std::string_view bytes)
 {
+    if (lingering_) {
+        return; // the rest of a refused request
+    }
     const auto keep = shared_from_this();
     parser_.push(bytes);
     if (!busy_) {
@@ -147,11 +152,12 @@
     server_.timers_.cancel(std::exchange(timer_, 0));
     keep_alive_ = parser_.head().keep_alive;
     bodyless_ = parser_.head().method == "HEAD";
+    request_ = parser_.head().target;
     incoming_request it{std::move(parser_.head()), std::move(parser_.body()), shared_from_this(),
                         arrived_};
-    auto way = server_.options_.handle(std::move(it));
-    if (way) {
-        exchange_ = std::move(way);
+    if (auto started = server_.options_.handle(std::move(it))) {
+        exchange_ = std::move(started);
+        request_ = exchange_->id();
         exchange_->start();
     }
 }
@@ -244,30 +250,60 @@
 
 void caller_connection::close_when_sent()
 {
-    // An answer larger than the socket's buffer is still on its way here: closed now, the caller
-    // would get its beginning only, as with a whole configuration read over a slow link.
-    if (!closed_) {
-        stream_->write_now();
+    if (closed_) {
+        server_.remove(this);
+        return;
     }
-    if (!closed_ && stream_->unsent() > 0) {
-        sending_rest_ = true;
-        server_.timers_.cancel(timer_);
-        timer_ = server_.timers_.add(server_.now_() + silence_limit, [this] {
-            timer_ = 0;
-            const auto keep = shared_from_this();
-            close();
-            server_.remove(this);
-        });
+    stream_->write_now();
+    if (stream_->unsent() == 0) {
+        linger();
         return;
     }
+    sending_rest_ = true;
+    server_.timers_.cancel(timer_);
+    timer_ = server_.timers_.add(server_.now_() + silence_limit, [this] {
+        timer_ = 0;
+        const auto keep = shared_from_this();
+        close();
+        server_.remove(this);
+    });
+}
+
+void caller_connection::linger()
+{
+    // Closing a socket that has unread input resets the connection, and the caller may lose the
+    // answer. It closes once it has read it.
     busy_ = false;
-    close();
-    server_.remove(this);
+    sending_rest_ = false;
+    lingering_ = true;
+    stream_->shut_down_output();
+    server_.timers_.cancel(timer_);
+    timer_ = server_.timers_.add(server_.now_() + linger_limit, [this] {
+        timer_ = 0;
+        const auto keep = shared_from_this();
+        close();
+        server_.remove(this);
+    });
+}
+
+void caller_connection::report_loss(bool by_caller)
+{
+    // The record of an exchange tells of a caller that left.
+    const bool known = by_caller && (lingering_ || exchange_);
+    if (!owes_answer() || closed_ || known || !server_.options_.lost) {
+        return;
+    }
+    const auto state = lingering_      ? answer_state::unconfirmed
+                       : sending_rest_ ? answer_state::unsent
+                       : busy_         ? answer_state::unanswered
+                                       : answer_state::unsent;
+    server_.options_.lost({request_, state, by_caller, stream_->unsent()});
 }
 
 void caller_connection::gone()
 {
     const auto keep = shared_from_this();
+    report_loss(true);
     closed_ = true;
     if (exchange_) {
         exchange_->caller_left();
@@ -278,9 +314,10 @@
 
 void caller_connection::close()
 {
+    report_loss(false);
     closed_ = true;
     if (exchange_) {
-        exchange_->caller_left();
+        exchange_->host_closes();
         exchange_.reset();
     }
     server_.timers_.cancel(std::exchange(timer_, 0));
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -22,11 +22,13 @@
     [[nodiscard]] bool held() const noexcept { return held_; }
     /// Hands the request over.
     void dispatch();
-    /// Nothing of a request has come, and the last answer is out.
-    [[nodiscard]] bool idle() const noexcept
+    /// The caller may not have received all of the last answer.
+    [[nodiscard]] bool owes_answer() const noexcept
     {
-        return !busy_ && !parser_.begun() && stream_->unsent() == 0;
+        return busy_ || lingering_ || stream_->unsent() > 0;
     }
+    /// Nothing of a request has come, and the caller is owed no answer.
+    [[nodiscard]] bool idle() const noexcept { return !owes_answer() && !parser_.begun(); }
 
     void respond(http1::response_head head, std::string body) override;
     void begin(http1::response_head head) override;
@@ -36,7 +38,7 @@
     [[nodiscard]] std::size_t unsent() const override { return stream_->unsent(); }
 
     void ready(std::uint32_t) override {}
-    /// Runs after the turn in which an answer ended: here the request's way may go.
+    /// Runs after the turn in which an answer ended, when the exchange may be destroyed.
     void flush() override;
 
 private:
@@ -48,6 +50,8 @@
     void arm_timer();
     void time_passed();
     void close_when_sent();
+    void linger();
+    void report_loss(bool by_caller);
     void gone();
 
     caller_server& server_;
@@ -56,13 +60,15 @@
     std::unique_ptr<gateway::exchange> exchange_;
     std::uint64_t timer_ = 0;
     instant arrived_;
+    std::string request_; ///< as in `connection_loss`
     bool busy_ = false;
     bool held_ = false;
     bool keep_alive_ = true;
     bool bodyless_ = false;  ///< the answer to HEAD has no body
     bool turn_over_ = false; ///< the answer is complete; `flush` clears up
     bool closed_ = false;
-    bool sending_rest_ = false; ///< answered; the connection closes once its bytes are out
+    bool sending_rest_ = false; ///< the answer is complete; the connection closes once it is sent
+    bool lingering_ = false;    ///< the answer is sent; waits for the caller to close
     bool head_timer_ = false;   ///< the timer bounds a request that has begun
 };
 
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -74,4 +74,13 @@
     return out;
 }
 
+std::size_t caller_server::owing() const
+{
+    std::size_t out = 0;
+    for (const auto& [raw, it] : connections_) {
+        out += it->owes_answer() ? 1 : 0;
+    }
+    return out;
+}
+
 } // namespace hickorypost
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -5,6 +5,7 @@
 #include "hickorypost/net/poller.h"
 #include "hickorypost/net/tcp_stream.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,23 +19,37 @@
 struct incoming_request {
     http1::request_head head;
     std::string body;
-    /// The way back. May be kept for a later answer; then nothing comes of it if the caller has
-    /// left.
+    /// Takes the answer, now or later. Ignores it if the caller has left.
     std::shared_ptr<gateway::caller_port> answer;
     instant arrived;
 };
 
+/// Why a caller may not have received its whole answer.
+enum class answer_state : std::uint8_t {
+    unanswered,  ///< the request has been read, its answer is not complete
+    unsent,      ///< the answer is complete, not all of it was handed to the kernel
+    unconfirmed, ///< all of it was sent, the caller did not close in time
+};
+
+/// A connection that was closed while its caller was owed an answer.
+struct connection_loss {
+    std::string request; ///< the request's id, or its target
+    answer_state state = answer_state::unanswered;
+    bool by_caller = false;
+    std::size_t unsent_bytes = 0;
+};
+
 /// Serves HTTP/1.1 on one address: many kept connections, one request at a time on each.
 class caller_server {
 public:
     struct options {
         std::function<gateway::caller_limits()> limits;
-        /// Gives the request's way through the gateway, or nothing if `answer` was or will be used.
+        /// Starts an exchange for the request, or returns null if `answer` was or will be used.
         std::function<std::unique_ptr<gateway::exchange>(incoming_request)> handle;
-        /// While it says false, requests that have been read wait, at most for `hold_limit`. Unset:
-        /// never.
+        /// While it returns false, requests are held, for `hold_limit` at most. Unset: never.
         std::function<bool()> may_handle = nullptr;
         millis hold_limit{0};
+        std::function<void(const connection_loss&)> lost = nullptr;
     };
 
     /// Gives nothing if the address cannot be listened on; errno tells why.
@@ -46,7 +61,7 @@
 
     /// From now on each answer ends its connection.
     void begin_drain() { draining_ = true; }
-    /// `may_handle` says true now: requests that wait are handled.
+    /// Dispatches held requests, once `may_handle` returns true.
     void release_held();
     /// New connections are refused from now on, so that callers go elsewhere at once.
     void stop_accepting() { listener_.reset(); }
@@ -55,6 +70,8 @@
     void close_idle();
     /// Requests that have been read and not been answered.
     [[nodiscard]] std::size_t in_flight() const;
+    /// Connections whose caller may not have received its whole answer.
+    [[nodiscard]] std::size_t owing() const;
     [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
 
 private:
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -179,6 +179,7 @@
 {
     const std::string text = at.host + ":" + std::to_string(at.port);
     const auto where = net::endpoint::parse(text);
+    how.lost = [this](const connection_loss& loss) { journal_.lost(loss); };
     auto out =
         where ? caller_server::open(poller_, timers_, env_.now, *where, std::move(how)) : nullptr;
     if (!out) {
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -23,6 +23,19 @@
     return "unknown";
 }
 
+std::string_view name_of(answer_state state)
+{
+    switch (state) {
+    case answer_state::unanswered:
+        return "unanswered";
+    case answer_state::unsent:
+        return "unsent";
+    case answer_state::unconfirmed:
+        return "unconfirmed";
+    }
+    return "unknown";
+}
+
 std::string labelled(std::string_view name, const gateway::exchange_record& record)
 {
     std::string out{name};
@@ -125,6 +138,23 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::lost(const connection_loss& loss)
+{
+    const std::string_view by = loss.by_caller ? "caller" : "host";
+    std::string name{"caller_connections_lost_total{state=\""};
+    name.append(name_of(loss.state)).append("\",closed_by=\"").append(by).append("\"}");
+    env_.metrics.count(name);
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"connection_lost"};
+    line.add("request", loss.request)
+        .add("state", name_of(loss.state))
+        .add("closed_by", by)
+        .add("unsent_bytes", loss.unsent_bytes);
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::tick()
 {
     ordinary_left_ = ordinary_per_second_;
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/caller_server.h"
 #include "hickorypost/gateway/exchange.h"
 #include "runtime.h"
 
@@ -17,7 +18,9 @@
                   std::uint64_t config_version);
     void decision(const gateway::exchange_record& record, std::string_view what,
                   std::string_view why);
-    /// Once a second: gives the rates anew and says what was left out.
+    /// A connection was closed while its caller was owed an answer.
+    void lost(const connection_loss& loss);
+    /// Once a second: renews the line budgets and logs how many lines were left out.
     void tick();
 
 private:
