[gateway] A stopping host finishes its answers on the control port

What operators saw: the beginning only of a configuration that is read slowly from a host that gets SIGTERM.

Cause: a draining host ended as soon as no caller of requests was connected; connections of the control port were not counted, neither answers under way nor answers not yet sent.

Evidence: caller_connection/stopping_host_finishes_answer_to_slow_operator (7 MB, SIGTERM after the first bytes) failed on the code before: the answer was not whole. It passes now.

Change: the drain also waits until no control connection owes an answer, within the same bound.

Ruled out: closing kept control connections early; a backend server's next heartbeat would need a new connection at a host that is about to end.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -334,9 +334,11 @@
         callers_server_->stop_accepting();
         env_.log->info("no new callers; {} requests in flight", callers_server_->in_flight());
     }
-    const bool finished = since >= drain_least && callers_server_->connections() == 0;
+    const bool finished = since >= drain_least && callers_server_->connections() == 0 &&
+                          control_server_->owing() == 0;
     if (finished || since >= config_.grace - drain_margin) {
-        env_.log->info("drained: {} requests cut off", callers_server_->in_flight());
+        env_.log->info("drained: {} requests and {} control calls cut off",
+                       callers_server_->in_flight(), control_server_->owing());
         drain_timer_.cancel();
         env_.log->flush();
         done();
