[balancer] A backend server that failed is measured again

What callers saw: after some seconds in which a backend server failed part of its requests it got none any more, although it was healthy and idle, and the others carried its load.

Cause: the failure ratio changed only with an answer of that backend server.

Change: the ratio holds for 5 s after the last request and then halves every 2 s.

Ruled out: halving from the last request on, without a hold. At hundreds of hosts, or below one request a second for each engine, the ratio would fade between two requests and a failing engine would not be told.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -91,6 +91,10 @@
     double failure_weight = 0.1;
     /// A backend server that fails this much more often than the service as a whole is avoided.
     double failure_margin = 0.15;
+    /// A failure ratio holds for `failure_hold` after the last request, then halves in each
+    /// `failure_half_life`: a backend server that is avoided for its failures is measured again.
+    millis failure_hold{5000};
+    millis failure_half_life{2000};
 };
 
 /// Chooses a backend server by the expected time until it answers.
@@ -141,8 +145,8 @@
     struct backend_load {
         double requests = 0;
         double reading_ms = 0;
-        remote_load others; ///< all other processes' work
-        double failure_ratio = 0;
+        remote_load others;       ///< all other processes' work
+        double failure_ratio = 0; ///< running ratio at `asked_at`
         double service_ms = 0;    ///< running mean; 0: none yet
         double service_trust = 1; ///< of that mean, less the longer no request was answered
         instant asked_at;         ///< when it last got a request
@@ -166,14 +170,14 @@
     void set_part_keys(const job_size& job);
     /// The candidate on which prompts with these parts meet; null if there are none.
     [[nodiscard]] const backend_entry* home() const;
-    [[nodiscard]] comparison compare() const;
+    [[nodiscard]] comparison compare(instant now) const;
     [[nodiscard]] double cost_ms(const option& at, const job_size& job, const comparison& all,
                                  instant now) const;
     /// What a plain request is likely to take there.
     [[nodiscard]] double expected_service_ms(const backend_load& load, const comparison& all,
                                              instant now) const;
-    /// How far a mean service time still holds after that time without a request, 0 to 1.
-    [[nodiscard]] double trust_after(micros idle) const;
+    /// The failure ratio as far as it still holds.
+    [[nodiscard]] double failures_now(const backend_load& load, instant now) const;
     [[nodiscard]] double cached_tokens(const backend_load& load, const job_size& job, bool is_home,
                                        instant now) const;
 
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -29,6 +29,13 @@
     return hash_bytes(model, part.id);
 }
 
+/// What is left of a weight of 1 after `idle`.
+double decay(micros idle, millis half_life)
+{
+    return std::exp2(-static_cast<double>(to_millis(idle)) /
+                     static_cast<double>(half_life.count()));
+}
+
 /// Parts that requests share: all but the last, which is the request's own.
 std::span<const prompt_part> shared_parts(const job_size& job)
 {
@@ -124,7 +131,7 @@
         out += expected_service_ms(load, all, now) * (1 + running / slots);
     }
     out += failure_cost_ms *
-           std::max(0.0, load.failure_ratio - all.failures - settings_.failure_margin);
+           std::max(0.0, failures_now(load, now) - all.failures - settings_.failure_margin);
     out += static_cast<double>(it.record.cold_ms) > 0 ? settings_.service_ms : 0;
     if (now < load.probation_until || now < load.full_until) {
         out += last_resort_ms;
@@ -138,20 +145,21 @@
     if (load.service_ms <= 0) {
         return all.service_ms;
     }
-    return all.service_ms + (load.service_ms - all.service_ms) * trust_after(now - load.asked_at);
+    return all.service_ms + (load.service_ms - all.service_ms) *
+                                decay(now - load.asked_at, settings_.service_half_life);
 }
 
-double load_balancer::trust_after(micros idle) const
+double load_balancer::failures_now(const backend_load& load, instant now) const
 {
-    return std::exp2(-static_cast<double>(to_millis(idle)) /
-                     static_cast<double>(settings_.service_half_life.count()));
+    const micros idle = now - load.asked_at - settings_.failure_hold;
+    return load.failure_ratio * decay(std::max(micros{0}, idle), settings_.failure_half_life);
 }
 
-load_balancer::comparison load_balancer::compare() const
+load_balancer::comparison load_balancer::compare(instant now) const
 {
     comparison out;
     for (const auto& it : options_) {
-        out.failures += it.load->failure_ratio / static_cast<double>(options_.size());
+        out.failures += failures_now(*it.load, now) / static_cast<double>(options_.size());
         // One that was never measured counts as the fastest known: it would not be tried otherwise
         // until the others are loaded, and a new one would stand idle.
         const double known = it.load->service_ms;
@@ -172,7 +180,7 @@
     set_options(candidates);
     set_part_keys(job);
     const auto* const at_home = home();
-    const comparison all = compare();
+    const comparison all = compare(now);
     const double token_ms = settings_.prefix_weight * job.pace / settings_.prompt_tokens_per_ms;
     const backend_entry* best = nullptr;
     double lowest = std::numeric_limits<double>::max();
@@ -207,7 +215,9 @@
                       [&](const auto& it) { return now > it.second + settings_.prefix_memory; });
     }
     load.requests += 1;
-    load.service_trust *= trust_after(now - std::exchange(load.asked_at, now));
+    load.failure_ratio = failures_now(load, now);
+    load.service_trust *=
+        decay(now - std::exchange(load.asked_at, now), settings_.service_half_life);
     const double reading = reading_ms(job, cached);
     load.reading_ms += reading;
     changed_(on.record.id, {load.requests, load.reading_ms});
--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -34,6 +34,36 @@
     load_balancer balancer{{}, "a", seeded_random_fn(3), [](const auto&, const auto&) {}};
 };
 
+/// Plain backend servers e0 and e1, which get a request each 50 ms and answer in 12 ms.
+struct two_plain_backends {
+    void run(const std::string& id, attempt_result how)
+    {
+        auto it = servers.balancer.started(*servers.directory.find(id), {}, now);
+        now += millis{12};
+        servers.balancer.first_answer(it, now);
+        servers.balancer.ended(it, how, now);
+        now += millis{38};
+    }
+    /// Sends `n` requests; returns how many went to e0.
+    int ask(int n, const std::function<attempt_result(const std::string&)>& how)
+    {
+        int out = 0;
+        for (; n > 0; --n) {
+            ++sequence;
+            servers.directory.touch("e0", sequence, now);
+            servers.directory.touch("e1", sequence, now);
+            const std::string id = servers.choose({}, now);
+            out += id == "e0" ? 1 : 0;
+            run(id, how(id));
+        }
+        return out;
+    }
+
+    some_engines servers{2};
+    instant now = start;
+    std::uint64_t sequence = 1;
+};
+
 job_size prompt(double tokens)
 {
     job_size out;
@@ -115,6 +145,30 @@
     BOOST_TEST(again > 10);
 }
 
+// Guards against a backend server that stays unused after a series of failures.
+BOOST_AUTO_TEST_CASE(backend_that_failed_is_measured_again)
+{
+    constexpr int failures = 10;
+    two_plain_backends it;
+    for (int n = 0; n < failures; ++n) {
+        it.run("e0", attempt_result::failed);
+    }
+    it.ask(400, [](const auto&) { return attempt_result::answered; }); // twenty seconds
+    BOOST_TEST(it.ask(200, [](const auto&) { return attempt_result::answered; }) > 20);
+}
+
+// Guards against measuring a backend server again at the cost of its requests.
+BOOST_AUTO_TEST_CASE(backend_that_always_fails_gets_few_requests)
+{
+    constexpr int requests = 1200; // one minute
+    two_plain_backends it;
+    const int failed = it.ask(requests, [](const std::string& id) {
+        return id == "e0" ? attempt_result::failed : attempt_result::answered;
+    });
+    BOOST_TEST(failed > 5);
+    BOOST_TEST(failed < requests / 20);
+}
+
 // One of two plain backend servers takes five times as long for good. It is measured again now and
 // then, and nearly all requests go to the other.
 BOOST_AUTO_TEST_CASE(a_slow_backend_server_is_measured_seldom)
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -151,4 +151,20 @@
     BOOST_TEST(after(it, small, 0.1, plenty, 0) == small);
 }
 
+// Guards against a large model that stays unused after a period in which it was slow.
+BOOST_AUTO_TEST_CASE(model_that_was_slow_once_is_asked_again)
+{
+    constexpr int requests = 5000;
+    model_choice it{{}};
+    learn_times(it, "small", millis{50}, millis{100});
+    learn_times(it, "middle", millis{20'000}, millis{20'000});
+    learn_times(it, "large", millis{20'000}, millis{20'000});
+    int asked = 0;
+    for (int n = 0; n < requests; ++n) {
+        asked += after(it, small, 0.1) == small ? 0 : 1;
+        it.times().saw("r", "small", 100, millis{50}, millis{100});
+    }
+    BOOST_TEST(asked > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
