[models] Learned run times expire, so that a model that was slow is asked again

What callers saw: after a period in which a larger model took longer than callers wait, hard requests were answered by the smallest model for good, although the larger one had become quick.

Change: what is known of a model, and of it on a route, expires after 500 runs of others. Then it begins again with the guess of a new model.

Ruled out: expiry by time. A host with one request a second would forget a model that it uses now and then.

--- a/modules/gateway/include/hickorypost/gateway/run_times.h
+++ b/modules/gateway/include/hickorypost/gateway/run_times.h
@@ -2,6 +2,7 @@
 
 #include "hickorypost/base/time.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -11,6 +12,9 @@
 struct run_times_settings {
     /// Weight of the newest run.
     double weight = 0.05;
+    /// What is known of a model expires after this many runs of others, so that one that was too
+    /// slow is tried again.
+    std::uint64_t expiry_runs = 500;
     /// Deviations above the mean that `nearly_all` allows for: about 19 in 20 runs take less.
     double deviations = 2;
     /// Runs that the guess with which a model begins counts as.
@@ -47,6 +51,7 @@
         double mean = 0;
         double deviation = 0;
         bool known = false;
+        std::uint64_t last_run = 0; ///< of the route's runs
 
         void add(double value, double weight);
     };
@@ -58,17 +63,22 @@
         double xx = 0;
         double xy = 0;
         double deviation = 0;
+        std::uint64_t last_run = 0; ///< of all runs
 
         void add(double at, double value, double weight);
         [[nodiscard]] double value(double at) const;
     };
 
+    /// Drops what no run has confirmed for `expiry_runs`.
+    void expire(const std::string& route);
     line& line_of(const std::string& model);
     [[nodiscard]] line guess() const;
 
     run_times_settings settings_;
     std::map<std::string, line> first_;                           ///< by model
     std::map<std::pair<std::string, std::string>, running> rest_; ///< by route and model
+    std::uint64_t runs_ = 0;
+    std::map<std::string, std::uint64_t> route_runs_;
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/run_times.cpp
+++ b/modules/gateway/src/run_times.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace hickorypost::gateway {
 
@@ -65,15 +66,35 @@
 void run_times::saw(const std::string& route, const std::string& model, double reading_ms,
                     micros first, micros rest)
 {
-    line_of(model).add(reading_ms, to_millis(first), settings_.weight);
-    rest_[{route, model}].add(to_millis(rest), settings_.weight);
+    auto& known_first = line_of(model);
+    known_first.add(reading_ms, to_millis(first), settings_.weight);
+    known_first.last_run = ++runs_;
+    auto& known_rest = rest_[{route, model}];
+    known_rest.add(to_millis(rest), settings_.weight);
+    known_rest.last_run = ++route_runs_[route];
+    expire(route);
+}
+
+void run_times::expire(const std::string& route)
+{
+    std::erase_if(first_, [this](const auto& it) {
+        return runs_ - it.second.last_run > settings_.expiry_runs;
+    });
+    const std::uint64_t runs = route_runs_[route];
+    auto it = rest_.lower_bound({route, {}});
+    while (it != rest_.end() && it->first.first == route) {
+        const bool old = runs - it->second.last_run > settings_.expiry_runs;
+        it = old ? rest_.erase(it) : std::next(it);
+    }
 }
 
 void run_times::saw_none(const std::string& model, double reading_ms, micros waited)
 {
     // It says only that this run would have taken longer; a short wait says nothing.
     if (to_millis(waited) > first_ms(model, reading_ms)) {
-        line_of(model).add(reading_ms, to_millis(waited), settings_.weight);
+        auto& known = line_of(model);
+        known.add(reading_ms, to_millis(waited), settings_.weight);
+        known.last_run = runs_;
     }
 }
 
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -167,4 +167,26 @@
     BOOST_TEST(asked > 0);
 }
 
+// Guards against trying a slow model again at the cost of its requests.
+BOOST_AUTO_TEST_CASE(model_that_stays_slow_is_asked_seldom)
+{
+    constexpr int requests = 5000;
+    constexpr millis slow{20'000};
+    model_choice it{{}};
+    learn_times(it, "small", millis{50}, millis{100});
+    learn_times(it, "middle", slow, slow);
+    learn_times(it, "large", slow, slow);
+    int asked = 0;
+    for (int n = 0; n < requests; ++n) {
+        const auto rank = after(it, small, 0.1);
+        if (rank == small) {
+            it.times().saw("r", "small", 100, millis{50}, millis{100});
+        } else {
+            ++asked;
+            it.times().saw("r", rank == large ? "large" : "middle", 100, slow, slow);
+        }
+    }
+    BOOST_TEST(asked < requests / 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
