--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -52,26 +52,20 @@
     double square_ms = 0.15;
     /// What one more running stream costs a new request, in milliseconds.
     double stream_ms = 1.0;
-    /// While an engine reads prompts its streams get a token a chunk, many times more slowly than
-    /// else. Reading up to this long, in milliseconds, passes as one short pause of theirs.
+    /// Prefill of this many milliseconds delays running streams by a short pause only.
     double unnoticed_reading_ms = 600;
-    /// What each millisecond beyond costs for each stream that runs there: a long prompt goes where
-    /// it holds up few. Of all credit of a day with trouble 0.926 is earned instead of 0.920 (mean
-    /// of 20 days at 9 engines, late pauses on the quiet ones two thirds).
+    /// Cost of each millisecond of prefill beyond that, for each running stream.
     double held_up_ms = 0.03;
-    /// How long a stream keeps its slot, before any was measured. One that comes when all slots are
-    /// taken waits until enough of them have ended.
+    /// Mean time that a stream occupies its slot, before any was measured.
     double slot_ms = 2000;
     /// Mean service time of a plain service's request before any was measured.
     double service_ms = 25;
-    /// What a plain backend server's mean service time exceeds the fastest one's by counts half as
-    /// much after each such time without a request. Else one slow answer leaves an idle one without
-    /// requests for good; one that is five times as slow gets a request in six seconds.
+    /// The excess of a plain backend server's mean service time over the fastest one's halves in
+    /// each such time without a request, so that an idle one is measured again.
     millis service_half_life{1000};
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
-    /// Cost of a failure domain from which all streams are held up on their way. It competes with
-    /// waiting: engines on a bad way are still used once those on good ways are loaded.
+    /// Cost of a failure domain from which all streams arrive delayed.
     double bad_way_ms = 500;
     /// Prompts with shared parts meet on one engine by hashing.
     bool home_by_hash = true;
@@ -79,12 +73,11 @@
     bool heeds_others = true;
     /// Requests beyond an engine's slots wait.
     bool waits_for_slots = true;
-    /// Time that engines surely keep a prompt part after its last use.
+    /// Time for which engines keep a prompt part cached after its last use.
     millis prefix_memory{15'000};
-    /// What a prompt token that need not be read again is worth, in multiples of the time to read
-    /// it: that time is also everybody else's on that engine, and reading is paid for.
+    /// Value of a cached prompt token, in multiples of its prefill time.
     double prefix_weight = 5;
-    /// After being unreachable, the time until the next try; doubles up to the longest.
+    /// Time until an unreachable backend server is tried again; doubles up to the longest.
     millis first_probation{400};
     millis longest_probation{5000};
     /// Weight of the newest result in a backend server's running failure ratio.
@@ -99,13 +92,12 @@
 
 /// Chooses a backend server by the expected time until it answers.
 ///
-/// Load patterns: many processes see the same late reports, so own work counts exactly and at once
-/// and others' from their reports, and equal choices are broken by chance, not by order; one that
-/// fails, is silent or refuses is left after the first signs and tried again sparingly; prompts
-/// that share parts meet on the same engine without any message, by rendezvous hashing. Sans I/O.
+/// This process' own work counts at once, other processes' from their reports. Ties are broken at
+/// random, as many processes see the same reports. Prompts that share parts are placed on the same
+/// engine by rendezvous hashing. Performs no I/O itself.
 class load_balancer {
 public:
-    /// `changed` hears of each change of this process' own work on a backend server.
+    /// Called for each change of this process' own work on a backend server.
     using changed_fn = std::function<void(const std::string& backend, const remote_load& own)>;
 
     load_balancer(balancer_settings settings, std::string own_domain, random_fn random,
@@ -118,7 +110,7 @@
         bool first_seen = false;
         instant started;
         std::string failure_domain;
-        bool held_up = false; ///< its events came late by the way at least once
+        bool held_up = false; ///< its events were delayed by the network at least once
         instant first_at;     ///< its first event
     };
 
@@ -148,7 +140,7 @@
         remote_load others;       ///< all other processes' work
         double failure_ratio = 0; ///< running ratio at `asked_at`
         double service_ms = 0;    ///< running mean; 0: none yet
-        double service_trust = 1; ///< of that mean, less the longer no request was answered
+        double service_trust = 1; ///< weight of that mean, decays without requests
         instant asked_at;         ///< when it last got a request
         std::uint32_t misses = 0;
         instant probation_until;
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -11,17 +11,17 @@
 
 namespace {
 
-/// How sure it is that an engine keeps a part whose home it is by hashing, though this process has
-/// not sent it there: others have, unless the part is used less often than engines forget.
+/// Probability that the preferred engine (by rendezvous hashing) has a part cached that this
+/// process did not send there.
 constexpr double home_trust = 0.9;
 /// Weight of the newest service time in the running mean.
 constexpr double service_time_weight = 0.1;
 constexpr double micros_per_milli = 1000;
-/// After a refusal for lack of room, the time for which a backend server counts as full.
+/// Saturation backoff after a refusal for lack of room.
 constexpr millis full_time{60};
-/// Cost that sets one on probation or full behind all others, but not out of reach.
+/// Cost of a backend server on probation or saturated: used only where no other is left.
 constexpr double last_resort_ms = 1e6;
-/// Cost of a failure ratio of 1 above the margin: more than an ordinary answer takes.
+/// Cost of a failure ratio of 1 above the margin.
 constexpr double failure_cost_ms = 400;
 
 std::uint64_t part_key(const prompt_part& part, const std::string& model)
@@ -93,7 +93,7 @@
         const auto used = load.parts.find(part_keys_[n]);
         const bool kept = used != load.parts.end() && now < used->second + settings_.prefix_memory;
         if (!kept && !is_home) {
-            return out; // what follows a part that is not kept is read again too
+            return out; // parts after one that is not cached are prefilled too
         }
         out += job.parts[n].tokens * (kept ? 1.0 : home_trust);
     }
@@ -160,8 +160,7 @@
     comparison out;
     for (const auto& it : options_) {
         out.failures += failures_now(*it.load, now) / static_cast<double>(options_.size());
-        // One that was never measured counts as the fastest known: it would not be tried otherwise
-        // until the others are loaded, and a new one would stand idle.
+        // One that was never measured counts as the fastest known, or it would not be tried.
         const double known = it.load->service_ms;
         if (known > 0 && (out.service_ms == 0 || known < out.service_ms)) {
             out.service_ms = known;
@@ -190,7 +189,7 @@
         }
         double cost = cost_ms(it, job, all, now);
         cost -= token_ms * cached_tokens(*it.load, job, it.entry == at_home, now);
-        // Up to a millisecond of chance: processes that know the same do not all choose the same.
+        // Random tie-breaking: processes with the same reports do not all choose the same.
         cost += unit_random(random_);
         if (cost < lowest) {
             lowest = cost;
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -29,15 +29,15 @@
 
 /// A byte stream over TCP on a `poller`. Owns its socket.
 ///
-/// What is written in one turn of the main context leaves in one system call. Silence is noticed by
-/// keep-alive probes and by unacknowledged bytes (TCP_USER_TIMEOUT): a connection that something
-/// between the two ends has forgotten would otherwise hang for ever.
+/// Bytes written in one turn of the main context are sent in one system call. Keep-alive probes and
+/// TCP_USER_TIMEOUT detect a peer that no longer responds.
 class tcp_stream final : public pollable {
 public:
     struct hooks {
         std::function<void()> connected;
         std::function<void(std::string_view)> bytes;
-        std::function<void()> drained; ///< nothing unsent is left, after a write that had to wait
+        std::function<void()>
+            drained; ///< all bytes are sent, after a write that would have blocked
         std::function<void(stream_end)> ended; ///< once; nothing follows
     };
 
@@ -51,18 +51,19 @@
     tcp_stream(const tcp_stream&) = delete;
     tcp_stream& operator=(const tcp_stream&) = delete;
 
-    /// Bytes and ends arrive only once the hooks are set. A hook may destroy the stream.
+    /// Nothing arrives before the hooks are set. A hook may destroy the stream.
     void set_hooks(hooks to);
     void write(std::string_view bytes);
-    /// Sends what is unsent as far as the kernel takes it, then closes.
+    /// Sends buffered bytes as far as the kernel takes them, then closes.
     void close();
-    /// Stops or resumes taking bytes; ends are noticed all the same.
+    /// Stops or resumes reading. The peer's close is reported in both cases.
     void set_reading(bool on);
 
-    /// Writes buffered bytes as far as the socket takes them, without waiting for the end of the turn.
+    /// Writes buffered bytes as far as the socket takes them, without waiting for the end of the
+    /// turn.
     void write_now() { write_out(); }
-    /// Tells the peer that nothing follows what has been written. Bytes still arrive until it closes.
-    /// Requires that nothing is unsent.
+    /// Tells the peer that nothing follows what has been written. Bytes still arrive until it
+    /// closes. Requires that nothing is unsent.
     void shut_down_output() const;
     [[nodiscard]] std::size_t unsent() const noexcept { return out_.size(); }
     /// Some bytes were handed to the kernel, so the peer may have read them.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -123,7 +123,7 @@
     } else if (fault == http1::parse_fault::body_too_large) {
         status = status_body_too_large;
     }
-    // What follows on this connection cannot be told apart from the rest of the refused request.
+    // The end of the refused request is unknown, so nothing after it can be parsed.
     keep_alive_ = false;
     busy_ = true;
     respond(gateway::own_answer(status), {});
@@ -216,7 +216,7 @@
 
 void caller_connection::break_off()
 {
-    // No last chunk: the caller sees that the answer is not whole.
+    // Without the last chunk the caller sees that the answer is incomplete.
     keep_alive_ = false;
     answered();
 }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -16,20 +16,20 @@
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
-/// When a caller may come back to a host that has no configuration yet.
+/// Retry-After of a host that has no configuration yet.
 constexpr millis no_config_retry{300};
-/// A session's next request counts from the end of the one before, which this process notes when it
-/// begins. Longer than the timeouts of routes.
+/// Upper bound of the routes' timeouts. A session lasts from the end of its last request, of which
+/// this process records the start.
 constexpr millis longest_request{25'000};
 constexpr millis tick_period{250};
 constexpr std::uint64_t ticks_per_second = 4;
 constexpr millis drain_poll{100};
-/// The platform asks for readiness once a second and takes a host out after two refusals; until
-/// then callers open new connections, which must not be refused.
+/// The platform probes readiness once a second and stops sending new connections after two
+/// failures; until then none may be refused.
 constexpr millis drain_least{2600};
-/// Idle connections are closed once no new ones come, so that callers move on.
+/// Idle connections are closed once no new ones arrive.
 constexpr millis drain_close_idle{2200};
-/// Before the platform kills the process, what still runs is cut off by the process itself.
+/// Requests in flight are cut off this long before the platform kills the process.
 constexpr millis drain_margin{500};
 /// Bodies of configurations; the platform bounds them lower.
 constexpr std::uint64_t control_body_bytes = std::uint64_t{8} << 20U;
@@ -139,19 +139,21 @@
             return !table_ || table_->find_service(service) != nullptr;
         });
 
-    const auto no_way = [](const auto& body) {
+    const auto without_exchange = [](const auto& body) {
         return [body](incoming_request it) -> std::unique_ptr<gateway::exchange> {
             body(std::move(it));
             return nullptr;
         };
     };
-    BOOST_LEAF_ASSIGN(control_server_,
-                      serve(config_.control, {control_limits, no_way([this](incoming_request it) {
-                                                  calls_->handle(std::move(it));
-                                              })}));
-    BOOST_LEAF_ASSIGN(ready_server_,
-                      serve(config_.ready, {control_limits,
-                                            no_way([this](const auto& it) { handle_ready(it); })}));
+    BOOST_LEAF_ASSIGN(
+        control_server_,
+        serve(config_.control, {control_limits, without_exchange([this](incoming_request it) {
+                                    calls_->handle(std::move(it));
+                                })}));
+    BOOST_LEAF_ASSIGN(
+        ready_server_,
+        serve(config_.ready,
+              {control_limits, without_exchange([this](const auto& it) { handle_ready(it); })}));
     BOOST_LEAF_ASSIGN(
         callers_server_,
         serve(config_.callers,
@@ -159,10 +161,11 @@
                [this](incoming_request it) { return handle_caller(std::move(it)); },
                [this] { return can_serve(); }, config_.decisions.start_hold}));
     if (config_.metrics.port != 0) {
-        BOOST_LEAF_ASSIGN(metrics_server_,
-                          serve(config_.metrics, {control_limits, no_way([this](const auto& it) {
-                                                      handle_metrics(it);
-                                                  })}));
+        BOOST_LEAF_ASSIGN(
+            metrics_server_,
+            serve(config_.metrics, {control_limits, without_exchange([this](const auto& it) {
+                                        handle_metrics(it);
+                                    })}));
     }
     env_.metrics.on_collect([this](telemetry::metrics& to) { collect_metrics(to); });
     mesh_->dial_seeds(config_.seeds);
@@ -233,7 +236,7 @@
     auto decoded = platform::decode_request(std::move(request.head), std::move(request.body));
     decoded.arrived = request.arrived;
     if (draining_ && !callers_server_->accepts()) {
-        // It could be cut off by this process's end. On another host it can run whole.
+        // It could be cut off when this process exits. Another host can run it to its end.
         return reject(request, decoded, status_unavailable, "shutting down");
     }
     if (!can_serve()) {
--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -26,10 +26,10 @@
     return telemetry::make_logger(config.node.name, form, level);
 }
 
-/// How often a settings file is looked at for changes that no signal announced.
+/// Polling interval for changes of the settings file that no signal announces.
 constexpr millis settings_poll{2000};
 
-/// When the file was last written; the epoch if it cannot be told.
+/// Time of the last write; the epoch if it is unknown.
 std::filesystem::file_time_type written_at(const std::string& path)
 {
     std::error_code ec;
@@ -37,7 +37,7 @@
     return ec ? std::filesystem::file_time_type{} : out;
 }
 
-/// The main loop with its roles. The first signal drains; the second ends at once.
+/// The main loop with its roles. SIGTERM drains; a second SIGINT exits at once.
 class process {
 public:
     explicit process(const settings& config)
@@ -114,7 +114,6 @@
         return G_SOURCE_CONTINUE;
     }
 
-    /// From a terminal: who presses the keys twice does not want to wait.
     static gboolean on_interrupt(gpointer data)
     {
         auto* const self = static_cast<process*>(data);
@@ -152,7 +151,7 @@
                 return true;
             },
             [&](const settings_error& error) {
-                env_.log->error("settings not taken over: {}", describe(error));
+                env_.log->error("settings not applied: {}", describe(error));
                 return false;
             });
     }
@@ -160,8 +159,8 @@
     void shut_down()
     {
         if (draining_) {
-            // Platforms repeat the signal; ending now would cut requests that have their time yet.
-            env_.log->info("told to stop again: still finishing what is in flight");
+            // Platforms repeat the signal; exiting now would cut requests that still have time.
+            env_.log->info("SIGTERM while draining, ignored");
             return;
         }
         draining_ = true;
