[gateway] A host that exits answers the requests that are still in flight

What callers saw: a request that may not be repeated waits for a backend server that does not respond; 0.5 s before the end of the grace period its connection was closed without an answer.

Cause: the drain ended at its limit by destroying the connections. What was still in flight was cancelled in silence.

Change: at the limit the host answers 504 where the request may have run and 503 where it has not, and breaks off streams that have begun. The deadline of a request and the exit of its host share one decision (exchange::stop).

The timer of close_when_sent and linger stands once.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -132,8 +132,8 @@
     void start();
     /// The caller has closed its connection: the current attempt is cancelled.
     void caller_left();
-    /// This host is about to close the caller's connection: the current attempt is cancelled.
-    void host_closes();
+    /// This host is about to exit: the caller gets a final answer now, or its stream is broken off.
+    void host_exits();
     /// The caller has taken all buffered bytes.
     void caller_drained();
     [[nodiscard]] bool over() const noexcept { return over_; }
@@ -169,7 +169,7 @@
     void deliver_held();
     void give_up(std::string_view why);
     void refuse(unsigned status, std::string_view why);
-    void abandon(exchange_outcome outcome, std::string_view why);
+    void stop(std::string_view why);
     void deadline_passed();
     void stop_watching();
     void watch_silence();
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -345,42 +345,42 @@
     if (over_) {
         return;
     }
-    const bool running = current_ != nullptr;
-    if (running) {
-        // Silence up to the deadline: what was sent there may have run.
+    if (current_ && request_.any_model && stage_ != stage::relaying) {
+        services_.models.times().saw_none(model_now(), services_.balancer.reading_ms(job_now(), 0),
+                                          services_.now() - attempt_began_);
+    }
+    stop("time is over");
+}
+
+void exchange::host_exits()
+{
+    if (!over_) {
+        stop("host shuts down");
+    }
+}
+
+void exchange::stop(std::string_view why)
+{
+    if (current_) {
+        // What was sent may have run.
         may_have_run_ = true;
-        if (request_.any_model && stage_ != stage::relaying) {
-            services_.models.times().saw_none(model_now(),
-                                              services_.balancer.reading_ms(job_now(), 0),
-                                              services_.now() - attempt_began_);
-        }
         end_attempt(attempt_result::dropped);
     }
     if (stage_ == stage::relaying) {
         caller_.break_off();
-        finish(exchange_outcome::broken_off, head_.status, "time is over");
+        finish(exchange_outcome::broken_off, head_.status, why);
         return;
     }
-    refuse(may_have_run_ ? status_timeout : status_unavailable, "time is over");
+    refuse(may_have_run_ ? status_timeout : status_unavailable, why);
 }
 
 void exchange::caller_left()
-{
-    abandon(exchange_outcome::caller_left, "caller closed its connection");
-}
-
-void exchange::host_closes()
-{
-    abandon(exchange_outcome::broken_off, "this host closed the caller's connection");
-}
-
-void exchange::abandon(exchange_outcome outcome, std::string_view why)
 {
     if (over_) {
         return;
     }
     end_attempt(attempt_result::dropped);
-    finish(outcome, 0, why);
+    finish(exchange_outcome::caller_left, 0, "caller closed its connection");
 }
 
 void exchange::caller_drained()
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -248,6 +248,16 @@
     }
 }
 
+void caller_connection::finish_request()
+{
+    if (held_) {
+        dispatch();
+    }
+    if (exchange_) {
+        exchange_->host_exits();
+    }
+}
+
 void caller_connection::close_when_sent()
 {
     if (closed_) {
@@ -260,13 +270,7 @@
         return;
     }
     sending_rest_ = true;
-    server_.timers_.cancel(timer_);
-    timer_ = server_.timers_.add(server_.now_() + silence_limit, [this] {
-        timer_ = 0;
-        const auto keep = shared_from_this();
-        close();
-        server_.remove(this);
-    });
+    close_after(silence_limit);
 }
 
 void caller_connection::linger()
@@ -277,8 +281,13 @@
     sending_rest_ = false;
     lingering_ = true;
     stream_->shut_down_output();
+    close_after(linger_limit);
+}
+
+void caller_connection::close_after(millis limit)
+{
     server_.timers_.cancel(timer_);
-    timer_ = server_.timers_.add(server_.now_() + linger_limit, [this] {
+    timer_ = server_.timers_.add(server_.now_() + limit, [this] {
         timer_ = 0;
         const auto keep = shared_from_this();
         close();
@@ -290,13 +299,14 @@
 {
     // The record of an exchange tells of a caller that left.
     const bool known = by_caller && (lingering_ || exchange_);
-    if (!owes_answer() || closed_ || known || !server_.options_.lost) {
+    const bool sent = turn_over_ && stream_->unsent() == 0;
+    if (!owes_answer() || closed_ || sent || known || !server_.options_.lost) {
         return;
     }
-    const auto state = lingering_      ? answer_state::unconfirmed
-                       : sending_rest_ ? answer_state::unsent
-                       : busy_         ? answer_state::unanswered
-                                       : answer_state::unsent;
+    const bool answered = !busy_ || turn_over_ || sending_rest_;
+    const auto state = lingering_ ? answer_state::unconfirmed
+                       : answered ? answer_state::unsent
+                                  : answer_state::unanswered;
     server_.options_.lost({request_, state, by_caller, stream_->unsent()});
 }
 
@@ -314,12 +324,13 @@
 
 void caller_connection::close()
 {
-    report_loss(false);
-    closed_ = true;
     if (exchange_) {
-        exchange_->host_closes();
-        exchange_.reset();
+        exchange_->host_exits();
     }
+    stream_->write_now();
+    report_loss(false);
+    closed_ = true;
+    exchange_.reset();
     server_.timers_.cancel(std::exchange(timer_, 0));
     stream_->close();
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -22,6 +22,8 @@
     [[nodiscard]] bool held() const noexcept { return held_; }
     /// Hands the request over.
     void dispatch();
+    /// Answers the request at once, as the process is about to exit.
+    void finish_request();
     /// The caller may not have received all of the last answer.
     [[nodiscard]] bool owes_answer() const noexcept
     {
@@ -51,6 +53,7 @@
     void time_passed();
     void close_when_sent();
     void linger();
+    void close_after(millis limit);
     void report_loss(bool by_caller);
     void gone();
 
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -51,6 +51,19 @@
     }
 }
 
+void caller_server::finish_requests()
+{
+    std::vector<std::shared_ptr<caller_connection>> busy;
+    for (const auto& [raw, it] : connections_) {
+        if (it->busy()) {
+            busy.push_back(it);
+        }
+    }
+    for (const auto& it : busy) {
+        it->finish_request();
+    }
+}
+
 void caller_server::close_idle()
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
@@ -83,4 +96,13 @@
     return out;
 }
 
+std::size_t caller_server::unsent_bytes() const
+{
+    std::size_t out = 0;
+    for (const auto& [raw, it] : connections_) {
+        out += it->unsent();
+    }
+    return out;
+}
+
 } // namespace hickorypost
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -66,12 +66,16 @@
     /// New connections are refused from now on, so that callers go elsewhere at once.
     void stop_accepting() { listener_.reset(); }
     [[nodiscard]] bool accepts() const noexcept { return listener_ != nullptr; }
+    /// Answers all requests that are still in flight, as the process is about to exit.
+    void finish_requests();
     /// Closes connections on which no request has begun.
     void close_idle();
     /// Requests that have been read and not been answered.
     [[nodiscard]] std::size_t in_flight() const;
     /// Connections whose caller may not have received its whole answer.
     [[nodiscard]] std::size_t owing() const;
+    /// Bytes of answers that were not handed to the kernel yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
     [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
 
 private:
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -7,6 +7,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace hickorypost {
 
@@ -337,11 +338,15 @@
         callers_server_->stop_accepting();
         env_.log->info("no new callers; {} requests in flight", callers_server_->in_flight());
     }
-    const bool finished = since >= drain_least && callers_server_->connections() == 0 &&
-                          control_server_->owing() == 0;
-    if (finished || since >= config_.grace - drain_margin) {
-        env_.log->info("drained: {} requests and {} control calls cut off",
-                       callers_server_->in_flight(), control_server_->owing());
+    const bool callers_left = since >= drain_least && callers_server_->connections() == 0;
+    const std::size_t owing = control_server_->owing();
+    if (callers_left && owing > 0 && !std::exchange(finishing_control_, true)) {
+        env_.log->info("no callers left; finishing {} answers on the control port", owing);
+    }
+    if ((callers_left && owing == 0) || since >= config_.grace - drain_margin) {
+        env_.log->info("drained: {} requests ended early, {} control calls cut off",
+                       callers_server_->in_flight(), owing);
+        callers_server_->finish_requests();
         drain_timer_.cancel();
         env_.log->flush();
         done();
@@ -359,6 +364,7 @@
     to.set("backend_connections_opened", static_cast<double>(pool_.opened()));
     to.set("caller_connections", static_cast<double>(callers_server_->connections()));
     to.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
+    to.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     to.set("hosts", static_cast<double>(control_->hosts()));
     to.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
     to.set("site_revision", static_cast<double>(control_->state().revision));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -89,6 +89,7 @@
     bool was_ready_ = false;
     bool draining_ = false;
     instant drain_began_;
+    bool finishing_control_ = false; ///< only answers on the control port are left
 };
 
 } // namespace hickorypost
