[gateway] Liveness probes are called probes

Change: names, comments, one log line ("failed its liveness probe") and one name of a mechanism: `switched_off = doubt` in [gateway] is now `liveness_probe`; the old name is refused with the place and the value. The wire format is the same. No decision changes; all checks of the tests are as before, under the new names.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -51,22 +51,21 @@
     /// The same for one whose leaving was told by its name alone: that may have been a late word of
     /// the start before.
     std::uint32_t beats_to_deny_leaving = 2;
-    /// Failure domains in which a backend server must have been found silent before processes of
-    /// other domains leave it too: what one domain alone cannot reach is cut off from there.
-    std::size_t domains_to_doubt = 2;
+    /// Failure domains in which a backend server must have failed a probe before processes of other
+    /// domains avoid it too. One alone may be cut off from it.
+    std::size_t min_failed_domains = 2;
 };
 
 /// A backend server in the directory.
 struct backend_entry {
     backend_record record;
-    instant heard;         ///< last heartbeat, or other sign of life
+    instant heard;         ///< last heartbeat
     bool replaced = false; ///< another incarnation has registered at its address since
     std::uint32_t beats_since_replaced = 0;
     bool silent = false; ///< as `expire` last saw it
-    /// Failure domains in which it gave no sign of life to a process that asked, since its newest
-    /// heartbeat.
-    std::set<std::string, std::less<>> doubting;
-    std::uint64_t doubted_at = 0; ///< sequence of its newest heartbeat then
+    /// Failure domains in which it has failed a liveness probe since its newest heartbeat.
+    std::set<std::string, std::less<>> failed_domains;
+    std::uint64_t failed_at_sequence = 0; ///< sequence of its newest heartbeat at that time
 };
 
 /// The backend servers of all services, by incarnation, sequence and address. Soft state that each
@@ -87,9 +86,9 @@
     change take(const backend_record& record, instant now);
     /// Takes a heartbeat without its content: the incarnation lives. True if that is news.
     bool touch(std::string_view id, std::uint64_t sequence, instant now);
-    /// A process in that failure domain got no sign of life from it, when `sequence` was its newest
-    /// heartbeat known. It counts as silent until the next. True if that is news.
-    bool doubt(std::string_view id, std::uint64_t sequence, std::string_view domain);
+    /// It has failed a liveness probe in that failure domain, when `sequence` was its newest known
+    /// heartbeat. It counts as silent until the next. Returns true if that is news.
+    bool take_probe_failure(std::string_view id, std::uint64_t sequence, std::string_view domain);
     /// The incarnation has left, or was seen not to be at its address any more.
     bool remove(std::string_view id, instant now);
     /// Incarnations that a newer start under their name has replaced since the last call. Nothing
@@ -112,13 +111,13 @@
                                                            instant now) const;
     [[nodiscard]] bool stale(const backend_entry& it, instant now) const
     {
-        return now > it.heard + settings_.stale_after || doubted(it);
+        return now > it.heard + settings_.stale_after || probe_failed(it);
     }
-    /// Whether enough processes found it silent since its newest heartbeat.
-    [[nodiscard]] bool doubted(const backend_entry& it) const
+    /// Whether it has failed probes in enough failure domains since its newest heartbeat.
+    [[nodiscard]] bool probe_failed(const backend_entry& it) const
     {
-        return it.doubting.contains(own_domain_) ||
-               it.doubting.size() >= settings_.domains_to_doubt;
+        return it.failed_domains.contains(own_domain_) ||
+               it.failed_domains.size() >= settings_.min_failed_domains;
     }
     /// All records, tombstones included, for another process's first fill.
     [[nodiscard]] std::vector<backend_record> all() const;
@@ -146,8 +145,8 @@
     void claim_address(backend_entry& it);
     void release_address(const backend_entry& it);
 
-    /// A heartbeat of that sequence has come: what was doubted before it is refuted.
-    static void end_doubt(backend_entry& it, std::uint64_t sequence);
+    /// A heartbeat of that sequence has arrived: probes that failed before it no longer count.
+    static void clear_probe_failures(backend_entry& it, std::uint64_t sequence);
 
     directory_settings settings_;
     std::string own_domain_;
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -34,19 +34,17 @@
     /// time.
     millis backend_wait{1300};
     millis backend_poll{50};
-    /// Silence, in multiples of the route's targets, after which a resumable stream goes elsewhere.
+    /// Silence, as a ratio of the route's targets, after which a resumable stream fails over.
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
     double plain_silence_factor = 3.0;
-    /// Silence of an engine, in parts of the route's targets and beyond the time for which it reads
-    /// prompts, after which it is asked for a sign of life. With the time for the answer and for
-    /// another engine's first event (0.3 s at the median) a stream goes on within its longest
-    /// pause.
-    double doubt_part = 0.35;
-    /// But not before this long: engines take as long for an ordinary first event.
-    millis least_doubt{400};
-    /// Silent engines are asked for a sign of life.
-    bool doubts_silence = true;
+    /// Silence of an engine beyond its prefill time, as a ratio of the route's targets, after which
+    /// it is probed. Leaves time to resume a stream within its longest allowed pause.
+    double probe_after_ratio = 0.35;
+    /// Lower bound of that silence.
+    millis min_probe_delay{400};
+    /// Engines whose responses have stalled are probed.
+    bool probe_silent_backends = true;
     /// Broken streams go on at another backend server where their route allows it.
     bool resumes = true;
     /// When a request that was refused for lack of room may come back, spread over a span so that
@@ -173,9 +171,9 @@
     void deadline_passed();
     void stop_watching();
     void watch_silence();
-    void watch_doubt(millis target, millis patience);
-    void ask_for_life();
-    void leave_silent(std::string_view why);
+    void schedule_probe(millis target, millis patience);
+    void probe_backend();
+    void fail_over(std::string_view why);
     void finish(exchange_outcome outcome, unsigned status, std::string_view why);
 
     enum class stage : std::uint8_t {
@@ -198,8 +196,8 @@
     instant deadline_;
     std::uint64_t deadline_timer_ = 0;
     std::uint64_t silence_timer_ = 0;
-    std::uint64_t doubt_timer_ = 0;
-    std::uint64_t question_ = 0; ///< to `liveness`, about the current attempt
+    std::uint64_t probe_timer_ = 0;
+    std::uint64_t probe_ = 0; ///< of the current attempt's backend server, in `liveness`
 
     std::unique_ptr<attempt> current_;
     attempt_target target_; ///< of the current attempt
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -54,7 +54,7 @@
         it.record.state = backend_state::draining;
     }
     it.heard = now;
-    end_doubt(it, record.sequence);
+    clear_probe_failures(it, record.sequence);
     claim_address(it);
     return differs ? change::changed : change::touched;
 }
@@ -157,29 +157,30 @@
     backend_entry& it = found->second;
     it.record.sequence = sequence;
     it.heard = now;
-    end_doubt(it, sequence);
+    clear_probe_failures(it, sequence);
     claim_address(it);
     return true;
 }
 
-bool backend_directory::doubt(std::string_view id, std::uint64_t sequence, std::string_view domain)
+bool backend_directory::take_probe_failure(std::string_view id, std::uint64_t sequence,
+                                           std::string_view domain)
 {
     const auto found = entries_.find(id);
     if (found == entries_.end() || sequence < found->second.record.sequence) {
         return false; // it has been heard of since
     }
     backend_entry& it = found->second;
-    if (sequence > it.doubted_at) {
-        it.doubting.clear();
-        it.doubted_at = sequence;
+    if (sequence > it.failed_at_sequence) {
+        it.failed_domains.clear();
+        it.failed_at_sequence = sequence;
     }
-    return sequence == it.doubted_at && it.doubting.emplace(domain).second;
+    return sequence == it.failed_at_sequence && it.failed_domains.emplace(domain).second;
 }
 
-void backend_directory::end_doubt(backend_entry& it, std::uint64_t sequence)
+void backend_directory::clear_probe_failures(backend_entry& it, std::uint64_t sequence)
 {
-    if (sequence > it.doubted_at) {
-        it.doubting.clear();
+    if (sequence > it.failed_at_sequence) {
+        it.failed_domains.clear();
     }
 }
 
--- a/modules/gateway/src/decision_settings.cpp
+++ b/modules/gateway/src/decision_settings.cpp
@@ -16,8 +16,6 @@
 constexpr std::array table{
     mechanism{"cold_start_hold", "requests wait while a started process learns the newest state",
               [](all_settings& it) { it.start_hold = millis{0}; }},
-    mechanism{"doubt", "silent engines are asked for a sign of life",
-              [](all_settings& it) { it.exchange.doubts_silence = false; }},
     mechanism{"failure_margin", "backend servers that fail more often than others are avoided",
               [](all_settings& it) { it.balancer.failure_margin = 1; }},
     mechanism{"held_up_streams", "long prompts go where they hold up few streams",
@@ -26,6 +24,8 @@
               [](all_settings& it) { it.balancer.home_by_hash = false; }},
     mechanism{"late_answers", "a larger model that would be late is asked only in need",
               [](all_settings& it) { it.models.weighs_lateness = false; }},
+    mechanism{"liveness_probe", "engines whose responses have stalled are probed",
+              [](all_settings& it) { it.exchange.probe_silent_backends = false; }},
     mechanism{"middle_model", "models between the smallest and the largest",
               [](all_settings& it) { it.models.uses_middle = false; }},
     mechanism{"other_hosts_work", "what other processes have on backend servers",
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -271,7 +271,7 @@
     } else {
         ++unsent_;
     }
-    if (fault == attempt_fault::not_sent && services_.settings.doubts_silence) {
+    if (fault == attempt_fault::not_sent && services_.settings.probe_silent_backends) {
         services_.liveness.saw_refusal(record_.backend);
     }
     const bool broke = fault == attempt_fault::broken || head_seen;
--- a/modules/gateway/src/exchange_silence.cpp
+++ b/modules/gateway/src/exchange_silence.cpp
@@ -1,4 +1,4 @@
-/// A request's way, third part: backend servers that fall silent while it waits for them.
+/// Request lifecycle, part three: backend servers that stop responding during an attempt.
 
 #include "hickorypost/gateway/exchange.h"
 
@@ -10,8 +10,8 @@
 void exchange::stop_watching()
 {
     services_.timers.cancel(std::exchange(silence_timer_, 0));
-    services_.timers.cancel(std::exchange(doubt_timer_, 0));
-    services_.liveness.cancel(std::exchange(question_, 0));
+    services_.timers.cancel(std::exchange(probe_timer_, 0));
+    services_.liveness.cancel(std::exchange(probe_, 0));
 }
 
 void exchange::watch_silence()
@@ -29,43 +29,44 @@
     const double factor = stream ? settings.silence_factor : settings.plain_silence_factor;
     const auto patience =
         millis{static_cast<std::int64_t>(static_cast<double>(target.count()) * factor)};
-    // Half of what is left is kept for another try, or a silent backend server costs the request.
+    // Half of the time left is reserved for another attempt.
     const millis wait = std::min(patience, time_left() / 2);
     silence_timer_ = services_.timers.add(services_.now() + wait, [this] {
         silence_timer_ = 0;
-        leave_silent("backend server silent");
+        fail_over("backend server silent");
     });
-    watch_doubt(target, wait);
+    schedule_probe(target, wait);
 }
 
-void exchange::watch_doubt(millis target, millis patience)
+void exchange::schedule_probe(millis target, millis patience)
 {
     const auto& settings = services_.settings;
     const bool on_engine = service_ != nullptr && service_->engine.has_value();
-    const auto part = static_cast<double>(target.count()) * settings.doubt_part;
-    // While it reads, its streams stand still by right.
-    const millis wait = std::max(settings.least_doubt, millis{static_cast<std::int64_t>(part)}) +
-                        services_.balancer.reading_left(target_.backend);
-    if (!settings.doubts_silence || !on_engine || wait >= patience) {
+    const auto part = static_cast<double>(target.count()) * settings.probe_after_ratio;
+    // Its streams are expected to pause during prefill.
+    const millis wait =
+        std::max(settings.min_probe_delay, millis{static_cast<std::int64_t>(part)}) +
+        services_.balancer.reading_left(target_.backend);
+    if (!settings.probe_silent_backends || !on_engine || wait >= patience) {
         return;
     }
-    doubt_timer_ = services_.timers.add(services_.now() + wait, [this] {
-        doubt_timer_ = 0;
-        ask_for_life();
+    probe_timer_ = services_.timers.add(services_.now() + wait, [this] {
+        probe_timer_ = 0;
+        probe_backend();
     });
 }
 
-void exchange::ask_for_life()
+void exchange::probe_backend()
 {
-    question_ = services_.liveness.ask(target_, [this](bool alive) {
-        question_ = 0;
+    probe_ = services_.liveness.start(target_, [this](bool alive) {
+        probe_ = 0;
         if (!alive) {
-            leave_silent("backend server gives no sign of life");
+            fail_over("backend server failed its liveness probe");
         }
     });
 }
 
-void exchange::leave_silent(std::string_view why)
+void exchange::fail_over(std::string_view why)
 {
     if (over_ || !current_) {
         return;
@@ -73,7 +74,7 @@
     count_send();
     may_have_run_ = true;
     if (!repeat_allowed()) {
-        return; // it goes on waiting for this one
+        return; // keeps waiting for this attempt
     }
     end_attempt(attempt_result::unreachable);
     tried_.push_back(record_.backend);
--- a/modules/gateway/src/liveness_probe.cpp
+++ b/modules/gateway/src/liveness_probe.cpp
@@ -6,24 +6,25 @@
 
 namespace hickorypost::gateway {
 
-/// One question under way, with all who wait for its verdict.
-class liveness_probe::question final : public attempt_events {
+/// A probe in flight, with its subscribers.
+class liveness_probe::probe final : public attempt_events {
 public:
-    question(liveness_probe& of, const attempt_target& to) : of_{of}, backend_{to.backend}
+    probe(liveness_probe& of, const attempt_target& to) : of_{of}, backend_{to.backend}
     {
         const auto answered = of_.answered_.find(backend_);
         const instant now = of_.now_();
-        if (answered != of_.answered_.end() && now < answered->second + of_.settings_.answer_life) {
+        if (answered != of_.answered_.end() &&
+            now < answered->second + of_.settings_.result_lifetime) {
             alive_ = true;
             settle_in(millis{0});
             return;
         }
-        settle_in(of_.settings_.answer_limit);
+        settle_in(of_.settings_.probe_timeout);
         sent_ = of_.backends_.start(to, of_.write_(to), {}, false, *this);
     }
-    ~question() override { of_.timers_.cancel(timer_); }
-    question(const question&) = delete;
-    question& operator=(const question&) = delete;
+    ~probe() override { of_.timers_.cancel(timer_); }
+    probe(const probe&) = delete;
+    probe& operator=(const probe&) = delete;
 
     bool on_head(http1::response_head&) override
     {
@@ -33,11 +34,10 @@
     }
     void on_body(std::string_view) override {}
     void on_complete() override { end(); }
-    /// A connection that is refused or reset ends what runs there by itself. The question is only
-    /// about silence.
+    /// A refused or reset connection ends the attempts there by itself.
     void on_fault(attempt_fault) override { end(); }
 
-    std::vector<waiter> waiting;
+    std::vector<subscriber> subscribers;
 
 private:
     void end()
@@ -46,7 +46,7 @@
         alive_ = true;
         settle_in(millis{0});
     }
-    /// Never at once: the caller may be in the middle of a call of its own.
+    /// Never synchronous, as the caller may be in a call of its own.
     void settle_in(millis after)
     {
         of_.timers_.cancel(timer_);
@@ -64,21 +64,21 @@
 };
 
 liveness_probe::liveness_probe(probe_settings settings, attempt_port& backends, scheduler& timers,
-                               clock_fn now, write_fn write, silent_fn silent)
+                               clock_fn now, write_fn write, unresponsive_fn unresponsive)
     : settings_{settings}, backends_{backends}, timers_{timers}, now_{std::move(now)},
-      write_{std::move(write)}, silent_{std::move(silent)}
+      write_{std::move(write)}, unresponsive_{std::move(unresponsive)}
 {
 }
 
 liveness_probe::~liveness_probe() = default;
 
-std::uint64_t liveness_probe::ask(const attempt_target& to, verdict_fn verdict)
+std::uint64_t liveness_probe::start(const attempt_target& to, result_fn result)
 {
     auto& it = open_[to.backend];
     if (!it) {
-        it = std::make_unique<question>(*this, to);
+        it = std::make_unique<probe>(*this, to);
     }
-    it->waiting.emplace_back(++last_, std::move(verdict));
+    it->subscribers.emplace_back(++last_, std::move(result));
     return last_;
 }
 
@@ -89,26 +89,26 @@
     }
     const auto is_meant = [&](const auto& it) { return it.first == which; };
     for (auto& [backend, it] : open_) {
-        std::erase_if(it->waiting, is_meant);
+        std::erase_if(it->subscribers, is_meant);
     }
     std::erase_if(settling_, is_meant);
 }
 
 void liveness_probe::settle(const std::string& backend, bool alive)
 {
-    // Out of the table first: those who hear the verdict may ask again, or cancel for others.
+    // Removed first: a subscriber may start another probe or cancel others.
     const auto node = open_.extract(backend);
-    std::move(node.mapped()->waiting.begin(), node.mapped()->waiting.end(),
+    std::move(node.mapped()->subscribers.begin(), node.mapped()->subscribers.end(),
               std::back_inserter(settling_));
     std::erase_if(answered_,
-                  [&](const auto& it) { return now_() > it.second + settings_.answer_life; });
+                  [&](const auto& it) { return now_() > it.second + settings_.result_lifetime; });
     if (!alive) {
-        silent_(node.key());
+        unresponsive_(node.key());
     }
     while (!settling_.empty()) {
-        const auto verdict = std::move(settling_.front().second);
+        const auto result = std::move(settling_.front().second);
         settling_.erase(settling_.begin());
-        verdict(alive);
+        result(alive);
     }
 }
 
--- a/modules/gateway/tests/backend_directory_test.cpp
+++ b/modules/gateway/tests/backend_directory_test.cpp
@@ -182,14 +182,14 @@
     it.take(beat("sound", 0, 5, "h:2"), start);
     const std::vector<std::string> both{"dark", "sound"};
     const std::vector<std::string> one{"sound"};
-    BOOST_TEST(it.doubt("dark", 5, "b"));
-    BOOST_TEST(!it.doubt("dark", 5, "b"));
+    BOOST_TEST(it.take_probe_failure("dark", 5, "b"));
+    BOOST_TEST(!it.take_probe_failure("dark", 5, "b"));
     BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
-    BOOST_TEST(it.doubt("dark", 5, "c"));
+    BOOST_TEST(it.take_probe_failure("dark", 5, "c"));
     BOOST_TEST(usable(it) == one, boost::test_tools::per_element());
     it.touch("dark", 6, start);
     BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
-    BOOST_TEST(it.doubt("dark", 6, "a"));
+    BOOST_TEST(it.take_probe_failure("dark", 6, "a"));
     BOOST_TEST(usable(it) == one, boost::test_tools::per_element());
     it.take(beat("dark", 0, 7, "h:1"), start);
     BOOST_TEST(usable(it) == both, boost::test_tools::per_element());
@@ -202,9 +202,9 @@
     backend_directory it{{}, "a"};
     it.take(beat("b", 0, 5), start);
     it.take(beat("other", 0, 1, "h:2"), start);
-    BOOST_TEST(!it.doubt("b", 4, "a"));
+    BOOST_TEST(!it.take_probe_failure("b", 4, "a"));
     BOOST_TEST(usable(it).size() == 2U);
-    BOOST_TEST(it.doubt("b", 7, "a"));
+    BOOST_TEST(it.take_probe_failure("b", 7, "a"));
     it.touch("b", 7, start);
     BOOST_TEST(usable(it).size() == 1U);
     it.touch("b", 8, start);
@@ -217,7 +217,7 @@
 {
     backend_directory it{{}, "a"};
     it.take(beat("b", 0, 5), start);
-    it.doubt("b", 5, "a");
+    it.take_probe_failure("b", 5, "a");
     BOOST_TEST(usable(it).size() == 1U);
 }
 
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -48,7 +48,7 @@
     load_report = 67,
     version_report = 68,
     session_pins = 69,
-    backend_doubt = 70,
+    probe_failure = 70,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -425,10 +425,10 @@
     std::vector<std::uint64_t> sessions;
 };
 
-/// A backend server gave no sign of life to a host in that failure domain that asked for one, when
-/// `sequence` was its newest heartbeat known.
-struct backend_doubt {
-    static constexpr auto type = message_type::backend_doubt;
+/// A backend server has failed a liveness probe in that failure domain, when `sequence` was its
+/// newest known heartbeat.
+struct probe_failure {
+    static constexpr auto type = message_type::probe_failure;
     std::string id;
     std::uint64_t sequence = 0;
     std::string failure_domain;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -112,23 +112,24 @@
     }
 }
 
-void backend_feed::take_silence(const std::string& backend)
+void backend_feed::report_unresponsive(const std::string& backend)
 {
     const auto* const it = directory_.find(backend);
     if (it != nullptr) {
-        take_doubt(mesh_.self(), {backend, it->record.sequence, env_.config.node.failure_domain});
+        take_probe_failure(mesh_.self(),
+                           {backend, it->record.sequence, env_.config.node.failure_domain});
     }
 }
 
-void backend_feed::take_doubt(const node_id& from, const wire::backend_doubt& doubt)
+void backend_feed::take_probe_failure(const node_id& from, const wire::probe_failure& failure)
 {
     // At most one for each failure domain goes on between two heartbeats of a backend server.
-    if (!directory_.doubt(doubt.id, doubt.sequence, doubt.failure_domain)) {
+    if (!directory_.take_probe_failure(failure.id, failure.sequence, failure.failure_domain)) {
         return;
     }
-    env_.log->info("backend server {} gave no sign of life in {} since its heartbeat {}", doubt.id,
-                   doubt.failure_domain, doubt.sequence);
-    spread(doubt, from);
+    env_.log->info("backend server {} failed its liveness probe in {} after heartbeat {}",
+                   failure.id, failure.failure_domain, failure.sequence);
+    spread(failure, from);
 }
 
 void backend_feed::send_all(const node_id& to)
@@ -230,9 +231,9 @@
             spread(*it, from);
         }
         return true;
-    case wire::message_type::backend_doubt:
-        if (const auto it = wire::try_decode<wire::backend_doubt>(body)) {
-            take_doubt(from, *it);
+    case wire::message_type::probe_failure:
+        if (const auto it = wire::try_decode<wire::probe_failure>(body)) {
+            take_probe_failure(from, *it);
         }
         return true;
     case wire::message_type::load_report:
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -33,11 +33,11 @@
 
     void start();
     load_feed& loads() noexcept { return loads_; }
-    /// A heartbeat, or word of leaving, that a backend server brought to this host.
+    /// A heartbeat, or notice of leaving, that a backend server sent to this host.
     void take_heartbeat(const gateway::backend_record& record);
-    /// A backend server gave no sign of life to this host: it is left, here and by other hosts,
-    /// until its next heartbeat.
-    void take_silence(const std::string& backend);
+    /// A backend server has failed this host's liveness probe: all hosts avoid it until its next
+    /// heartbeat.
+    void report_unresponsive(const std::string& backend);
     /// Tells all hosts of sessions that stay on their old version.
     void spread_pins(std::vector<std::uint64_t> sessions);
     void on_link_up(const node_id& host);
@@ -59,7 +59,7 @@
     }
     void send_all(const node_id& to);
     void take_update(const node_id& from, const wire::backend_update& update);
-    void take_doubt(const node_id& from, const wire::backend_doubt& doubt);
+    void take_probe_failure(const node_id& from, const wire::probe_failure& failure);
     void choose_attachments();
     [[nodiscard]] std::vector<node_id> best_attachments() const;
     void tick();
