--- a/modules/admission/include/hickorypost/admission/attempt_table.h
+++ b/modules/admission/include/hickorypost/admission/attempt_table.h
@@ -12,10 +12,10 @@
 
 enum class attempt_state : std::uint8_t { queued, running, over, tombstoned };
 
-/// Every attempt that an agent's life has heard of: the reason why each starts at most once here.
+/// All attempts known to one incarnation of an agent. Ensures that each starts at most once.
 ///
-/// A tombstone is set for an attempt that was asked after, refused or cancelled before it started;
-/// a start that arrives later, because it was held up on the way, is then refused.
+/// An attempt that was queried, refused or cancelled before it started gets a tombstone, which
+/// refuses a delayed start.
 class attempt_table {
 public:
     explicit attempt_table(millis keep) : keep_{keep} {}
