--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/crash_watch.h"
 #include "hickorypost/gateway/event_splitter.h"
 #include "hickorypost/gateway/exchange_types.h"
 #include "hickorypost/gateway/liveness_probe.h"
@@ -88,6 +89,7 @@
     micros total{0};
     double prompt_tokens = 0;
     double output_tokens = 0;
+    std::optional<request_identity> identity; ///< where it was needed
 };
 
 /// The shared parts of one process that a request's way needs.
@@ -99,6 +101,7 @@
     std::map<std::string, retry_window>& windows; ///< by service
     attempt_port& backends;
     liveness_probe& liveness;
+    crash_watch& crashes;
     scheduler& timers;
     clock_fn now;
     random_fn random;
@@ -154,6 +157,9 @@
     [[nodiscard]] job_size job_now() const;
     [[nodiscard]] job_size job_of(const std::string& model) const;
     [[nodiscard]] std::string model_now() const;
+    [[nodiscard]] identity_parts parts() const;
+    const request_identity& identity();
+    void report_break();
     void end_attempt(attempt_result how);
     void next_attempt(std::string_view why);
     void handle_not_run(const backend_answer& answer);
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -184,6 +184,25 @@
     return out;
 }
 
+identity_parts exchange::parts() const
+{
+    return {record_.account, request_.host, request_.method, request_.target, request_.body};
+}
+
+const request_identity& exchange::identity()
+{
+    if (!record_.identity) {
+        record_.identity = identity_of(parts());
+    }
+    return *record_.identity;
+}
+
+void exchange::report_break()
+{
+    services_.crashes.attempt_broke(target_,
+                                    {record_.backend, record_.service, record_.id, identity()}, {});
+}
+
 void exchange::try_attempt()
 {
     const instant now = services_.now();
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -210,6 +210,7 @@
     const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
     if (events && (events_.has_partial() || stage_ == stage::pending)) {
         // A stream that ends within an event, or with none, lost its end on the way.
+        report_break();
         end_attempt(attempt_result::failed);
         go_on_elsewhere("stream ended within an event");
         return;
@@ -274,6 +275,9 @@
     if (fault == attempt_fault::not_sent && services_.settings.probe_silent_backends) {
         services_.liveness.saw_refusal(record_.backend);
     }
+    if (sent) {
+        report_break();
+    }
     const bool broke = fault == attempt_fault::broken || head_seen;
     if (fault == attempt_fault::no_room) {
         end_attempt(attempt_result::refused);
--- a/modules/gateway/tests/fakes.h
+++ b/modules/gateway/tests/fakes.h
@@ -5,6 +5,7 @@
 #include "hickorypost/gateway/exchange.h"
 
 #include <deque>
+#include <set>
 
 namespace hickorypost::testing {
 
@@ -74,6 +75,24 @@
     };
 };
 
+/// Backend servers that refuse connections, at once.
+struct fake_dials {
+    std::unique_ptr<gateway::dial> open(const gateway::attempt_target& to,
+                                        const std::function<void(bool)>& done)
+    {
+        const bool refused = ended.contains(to.backend);
+        if (unanswered) {
+            return nullptr;
+        }
+        timers.add(timers.now, [done, refused] { done(refused); });
+        return nullptr;
+    }
+
+    fake_scheduler& timers;
+    std::set<std::string> ended{};
+    bool unanswered = false;
+};
+
 /// What a caller got.
 class fake_caller final : public gateway::caller_port {
 public:
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -89,6 +89,16 @@
                             [this] { return timers.now; },
                             [](const attempt_target&) { return std::string{"alive?"}; },
                             [this](const std::string& it) { found_silent.push_back(it); }};
+    fake_dials dials{timers};
+    std::vector<crashed_attempt> crashed;
+    crash_watch crashes{{},
+                        timers,
+                        [this] { return timers.now; },
+                        [this](const attempt_target& to, const std::function<void(bool)>& done) {
+                            return dials.open(to, done);
+                        },
+                        [](const attempt_target&) { return false; },
+                        [this](const crashed_attempt& it) { crashed.push_back(it); }};
     fake_caller caller;
     backend_directory directory{{}};
     load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
@@ -106,6 +116,7 @@
         windows,
         backends,
         liveness,
+        crashes,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -25,6 +25,7 @@
 enum class stream_end : std::uint8_t {
     finished, ///< the peer closed in good order
     failed,   ///< reset, timed out, or never connected
+    refused,  ///< never connected: nobody listens there
 };
 
 /// A byte stream over TCP on a `poller`. Owns its socket.
@@ -94,6 +95,7 @@
     bool peer_closed_ = false;
     bool blocked_ = false;
     bool sent_any_ = false;
+    int connect_error_ = 0; ///< errno of the call that began to connect
     /// Set while hooks run, so that a destroyed stream is noticed.
     bool* destroyed_ = nullptr;
 };
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -38,6 +38,14 @@
     return out;
 }
 
+/// The error that a socket reports once, as an errno value.
+int socket_error(int fd)
+{
+    int out = 0;
+    socklen_t size = sizeof out;
+    return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &out, &size) == 0 ? out : errno;
+}
+
 } // namespace
 
 std::optional<endpoint> endpoint::parse(std::string_view text)
@@ -72,8 +80,10 @@
     }
     out->set_options(silence_limit);
     const sockaddr_in address = address_of(to);
-    // A failure shows as EPOLLERR once the socket is watched.
-    (void)::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    // A failure shows as EPOLLERR or EPOLLHUP once the socket is watched.
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        out->connect_error_ = errno;
+    }
     on.add(fd, *out);
     return out;
 }
@@ -225,7 +235,9 @@
     const bool* const gone = destroyed_;
     const bool broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
     if (broken && !connected_) {
-        return end(stream_end::failed);
+        // Over the loopback, `connect` itself may have reported the refusal.
+        const bool refused = connect_error_ == ECONNREFUSED || socket_error(fd_) == ECONNREFUSED;
+        return end(refused ? stream_end::refused : stream_end::failed);
     }
     if ((events & EPOLLOUT) != 0 && !connected_) {
         connected_ = true;
--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -18,6 +18,7 @@
     std::string message;
     std::string request;
     std::string backend;
+    std::string identity;
 };
 
 /// Where one process's clock was against the reference, at one of its lines.
@@ -67,6 +68,8 @@
             out.request = shown;
         } else if (name == "backend") {
             out.backend = shown;
+        } else if (name == "identity") {
+            out.identity = shown;
         }
         const bool has_column =
             name == "time" || name == "node" || name == "event" || name == "level";
@@ -125,18 +128,36 @@
     return !version.empty() && it.message.starts_with("configuration " + version + " ");
 }
 
+/// What the lines of a request say that it has in common with equal ones.
+std::set<std::string> identities_of(const by_node& nodes, const std::string& request)
+{
+    std::set<std::string> out;
+    for (const auto& [node, lines] : nodes) {
+        for (const auto& it : lines) {
+            if (!request.empty() && it.request == request && !it.identity.empty()) {
+                out.insert(it.identity);
+            }
+        }
+    }
+    return out;
+}
+
 /// Lines that the query asks for, and those on the backend servers around them.
 std::vector<log_line> select(const by_node& nodes, const history_query& query)
 {
     std::vector<log_line> out;
     std::set<std::string> backends;
+    const auto equal_requests = identities_of(nodes, query.request);
     for (const auto& [node, lines] : nodes) {
         for (const auto& it : lines) {
             const bool of_request = !query.request.empty() && it.request == query.request;
             if (of_request && !it.backend.empty()) {
                 backends.insert(it.backend);
             }
-            if (of_request || mentions_config(it, query.config_version)) {
+            // The other attempts of its callers, as far as they crashed backend servers.
+            const bool of_equal =
+                it.line.event == "request_crashed" && equal_requests.contains(it.identity);
+            if (of_request || of_equal || mentions_config(it, query.config_version)) {
                 out.push_back(it.line);
             }
         }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_role.h"
 
+#include "gateway/backend_dial.h"
 #include "hickorypost/base/packing.h"
 #include "hickorypost/platform/caller_codec.h"
 #include "hickorypost/platform/calls.h"
@@ -62,6 +63,15 @@
                 env.now,
                 platform::encode_liveness_probe,
                 [this](const std::string& backend) { feed_->report_unresponsive(backend); }},
+      crashes_{{},
+               timers_,
+               env.now,
+               [this](const gateway::attempt_target& to, std::function<void(bool)> done) {
+                   return std::make_unique<backend_dial>(poller_, timers_, env_.now, to.address,
+                                                         std::move(done));
+               },
+               [this](const gateway::attempt_target& it) { return end_expected(it); },
+               [this](const gateway::crashed_attempt& it) { journal_.crashed(it); }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -70,6 +80,7 @@
                 windows_,
                 pool_,
                 liveness_,
+                crashes_,
                 timers_,
                 env.now,
                 env.random,
@@ -288,6 +299,18 @@
     }
 }
 
+bool gateway_role::end_expected(const gateway::attempt_target& target) const
+{
+    const auto* const it = directory_.find(target.backend);
+    if (it == nullptr || it->record.state != gateway::backend_state::ready) {
+        return true;
+    }
+    const auto& rollouts = control_->state().rollouts;
+    const auto found = rollouts.find(target.service);
+    return found != rollouts.end() && found->second.phase == gateway::rollout_phase::completed &&
+           found->second.target != it->record.version;
+}
+
 void gateway_role::tick()
 {
     control_->take_versions(rollouts_.take_report());
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -56,6 +56,8 @@
     void handle_ready(const incoming_request& request) const;
     void handle_metrics(const incoming_request& request);
     void take_state(const gateway::site_state& state);
+    /// Whether a backend server was to end: it drains, has left, or its version is retired.
+    [[nodiscard]] bool end_expected(const gateway::attempt_target& target) const;
     void tick();
     void drain_step(const std::function<void()>& done);
     void collect_metrics(telemetry::metrics& to) const;
@@ -71,6 +73,7 @@
     std::map<std::string, gateway::retry_window> windows_;
     backend_pool pool_;
     gateway::liveness_probe liveness_;
+    gateway::crash_watch crashes_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -99,6 +99,9 @@
         .add("first_ms", to_millis(record.to_first))
         .add("gap_ms", to_millis(record.longest_gap))
         .add("total_ms", to_millis(record.total));
+    if (record.identity) {
+        line.add("identity", gateway::to_text(*record.identity));
+    }
     env_.log->info("{}", line.payload());
 }
 
@@ -138,6 +141,20 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::crashed(const gateway::crashed_attempt& attempt)
+{
+    env_.metrics.count("request_crashes_total");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"request_crashed"};
+    line.add("request", attempt.request)
+        .add("identity", gateway::to_text(attempt.identity))
+        .add("service", attempt.service)
+        .add("backend", attempt.backend);
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::lost(const connection_loss& loss)
 {
     const std::string_view by = loss.by_caller ? "caller" : "host";
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -18,6 +18,8 @@
                   std::uint64_t config_version);
     void decision(const gateway::exchange_record& record, std::string_view what,
                   std::string_view why);
+    /// A backend server has ended while this request was in flight there.
+    void crashed(const gateway::crashed_attempt& attempt);
     /// A connection was closed while its caller was owed an answer.
     void lost(const connection_loss& loss);
     /// Once a second: renews the line budgets and logs how many lines were left out.
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -52,4 +52,23 @@
     BOOST_TEST(found.lines.size() == 3U);
 }
 
+// Guards against attempts of one crashing request that nobody can connect.
+BOOST_AUTO_TEST_CASE(history_shows_which_attempts_of_an_equal_request_crashed_which_backends)
+{
+    const auto crash = [](const std::string& node, const std::string& time,
+                          const std::string& request, const std::string& backend,
+                          const std::string& identity) {
+        return line(node, time,
+                    R"("event":"request_crashed","request":")" + request + R"(","identity":")" +
+                        identity + R"(","backend":")" + backend + "\"");
+    };
+    const std::string one =
+        crash("a", "10.000", "q1", "i-1", "f00d") + crash("a", "10.000", "beside", "i-1", "beef");
+    const std::string two = crash("b", "11.000", "q2", "i-2", "f00d");
+    const auto found = read_history({one, two}, {.request = "q2"});
+    BOOST_REQUIRE(found.lines.size() == 2U);
+    BOOST_TEST(found.lines[0].text.find("backend=i-1") != std::string::npos);
+    BOOST_TEST(found.lines[1].text.find("backend=i-2") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
