--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/crash_ledger.h"
 #include "hickorypost/gateway/crash_watch.h"
 #include "hickorypost/gateway/event_splitter.h"
 #include "hickorypost/gateway/exchange_types.h"
@@ -102,6 +103,7 @@
     attempt_port& backends;
     liveness_probe& liveness;
     crash_watch& crashes;
+    crash_ledger& suspects;
     scheduler& timers;
     clock_fn now;
     random_fn random;
@@ -159,7 +161,11 @@
     [[nodiscard]] std::string model_now() const;
     [[nodiscard]] identity_parts parts() const;
     const request_identity& identity();
-    void report_break();
+    [[nodiscard]] crash_ledger::standing standing();
+    void attempt_broke(std::string_view why);
+    void go_on_after_break(std::string_view why);
+    void note_success();
+    void refuse_as_crashing();
     void end_attempt(attempt_result how);
     void next_attempt(std::string_view why);
     void handle_not_run(const backend_answer& answer);
@@ -203,7 +209,8 @@
     std::uint64_t deadline_timer_ = 0;
     std::uint64_t silence_timer_ = 0;
     std::uint64_t probe_timer_ = 0;
-    std::uint64_t probe_ = 0; ///< of the current attempt's backend server, in `liveness`
+    std::uint64_t probe_ = 0;       ///< of the current attempt's backend server, in `liveness`
+    std::uint64_t crash_check_ = 0; ///< of the last attempt's backend server, in `crashes`
 
     std::unique_ptr<attempt> current_;
     attempt_target target_; ///< of the current attempt
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -26,6 +26,7 @@
     double pace = 1; ///< how much slower its model is than an ordinary one
     std::string model;
     std::vector<prompt_part> parts; ///< leading parts first
+    bool suspect = false;           ///< it may crash the backend server that runs it
 };
 
 /// Work on a backend server, as processes tell each other.
@@ -63,6 +64,8 @@
     /// The excess of a plain backend server's mean service time over the fastest one's halves in
     /// each such time without a request, so that an idle one is measured again.
     millis service_half_life{1000};
+    /// Cost, for a suspect, of each request that runs beside it.
+    double suspect_beside_ms = 50;
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
     /// Cost of a failure domain from which all streams arrive delayed.
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -93,6 +93,7 @@
 exchange::~exchange()
 {
     services_.timers.cancel(deadline_timer_);
+    services_.crashes.cancel(crash_check_);
     stop_watching();
     if (ticket_) {
         services_.balancer.ended(*ticket_, attempt_result::dropped, services_.now());
@@ -184,32 +185,20 @@
     return out;
 }
 
-identity_parts exchange::parts() const
-{
-    return {record_.account, request_.host, request_.method, request_.target, request_.body};
-}
-
-const request_identity& exchange::identity()
-{
-    if (!record_.identity) {
-        record_.identity = identity_of(parts());
-    }
-    return *record_.identity;
-}
-
-void exchange::report_break()
-{
-    services_.crashes.attempt_broke(target_,
-                                    {record_.backend, record_.service, record_.id, identity()}, {});
-}
-
 void exchange::try_attempt()
 {
     const instant now = services_.now();
+    const auto suspicion = standing();
+    if (suspicion == crash_ledger::standing::refused) {
+        refuse_as_crashing();
+        return;
+    }
     auto candidates = services_.directory.usable(record_.service, now);
     services_.rollouts.choose_version(record_.service, request_.session, candidates, now);
     record_.candidates = static_cast<std::uint32_t>(candidates.size());
-    const job_size job = job_now();
+    job_size job = job_now();
+    job.suspect =
+        suspicion == crash_ledger::standing::suspect || suspicion == crash_ledger::standing::trial;
     const auto* to = services_.balancer.choose(candidates, job, tried_, now);
     if (to == nullptr && candidates.empty() && wait_for_backends()) {
         return;
@@ -218,6 +207,10 @@
         give_up(candidates.empty() ? "no backend server is known" : "all backend servers tried");
         return;
     }
+    if (suspicion == crash_ledger::standing::trial) {
+        services_.suspects.tried(identity());
+        services_.note(record_, "tried", "refused otherwise, as it crashes backend servers");
+    }
     send_to(*to, job);
 }
 
@@ -413,6 +406,7 @@
 {
     over_ = true;
     services_.timers.cancel(std::exchange(deadline_timer_, 0));
+    services_.crashes.cancel(std::exchange(crash_check_, 0));
     stop_watching();
     record_.outcome = outcome;
     record_.status = status;
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -210,11 +210,11 @@
     const bool events = route_.kind == request_kind::streaming && stage_ != stage::holding;
     if (events && (events_.has_partial() || stage_ == stage::pending)) {
         // A stream that ends within an event, or with none, lost its end on the way.
-        report_break();
         end_attempt(attempt_result::failed);
-        go_on_elsewhere("stream ended within an event");
+        attempt_broke("stream ended within an event");
         return;
     }
+    note_success();
     end_attempt(attempt_result::answered);
     if (stage_ == stage::relaying) {
         note_run();
@@ -275,21 +275,17 @@
     if (fault == attempt_fault::not_sent && services_.settings.probe_silent_backends) {
         services_.liveness.saw_refusal(record_.backend);
     }
-    if (sent) {
-        report_break();
-    }
     const bool broke = fault == attempt_fault::broken || head_seen;
     if (fault == attempt_fault::no_room) {
         end_attempt(attempt_result::refused);
     } else {
         end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
     }
-    if (stage_ == stage::relaying) {
-        go_on_elsewhere(describe(fault));
-        return;
+    if (sent) {
+        attempt_broke(describe(fault));
+    } else {
+        go_on_after_break(describe(fault));
     }
-    failure_head_.reset();
-    next_attempt(describe(fault));
 }
 
 } // namespace hickorypost::gateway
--- /dev/null
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -0,0 +1,90 @@
+/// Request lifecycle, part four: backend servers that end during an attempt, and requests that are
+/// known to crash them.
+
+#include "hickorypost/gateway/exchange.h"
+
+#include <utility>
+
+namespace hickorypost::gateway {
+
+namespace {
+
+/// Callers do not repeat a request after this status.
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+
+} // namespace
+
+identity_parts exchange::parts() const
+{
+    return {record_.account, request_.host, request_.method, request_.target, request_.body};
+}
+
+const request_identity& exchange::identity()
+{
+    if (!record_.identity) {
+        record_.identity = identity_of(parts());
+    }
+    return *record_.identity;
+}
+
+crash_ledger::standing exchange::standing()
+{
+    if (services_.suspects.empty() || !services_.suspects.may_know(outline_of(parts()))) {
+        return crash_ledger::standing::unknown;
+    }
+    return services_.suspects.standing_of(identity());
+}
+
+void exchange::attempt_broke(std::string_view why)
+{
+    // A further attempt waits until it is known whether this one's backend server has ended.
+    const bool waits = may_repeat();
+    crash_watch::result_fn go_on;
+    if (waits) {
+        go_on = [this, why](bool) {
+            crash_check_ = 0;
+            go_on_after_break(why);
+        };
+    }
+    crash_check_ = services_.crashes.attempt_broke(
+        target_, {record_.backend, record_.service, record_.id, identity(), attempt_began_},
+        std::move(go_on));
+    if (!waits) {
+        crash_check_ = 0;
+        go_on_after_break(why);
+    }
+}
+
+void exchange::go_on_after_break(std::string_view why)
+{
+    if (stage_ != stage::relaying) {
+        failure_head_.reset();
+    }
+    go_on_elsewhere(why);
+}
+
+void exchange::note_success()
+{
+    const bool success = head_.status >= first_success && head_.status < first_redirect;
+    if (success && standing() != crash_ledger::standing::unknown) {
+        services_.suspects.clear(identity());
+    }
+}
+
+void exchange::refuse_as_crashing()
+{
+    constexpr std::string_view why = "crashes the backend servers that run it";
+    if (stage_ == stage::relaying) {
+        caller_.break_off();
+        finish(exchange_outcome::broken_off, head_.status, why);
+        return;
+    }
+    caller_.respond(own_answer(status_bad_request),
+                    "This request has crashed the backend servers that ran it.\n");
+    finish(may_have_run_ ? exchange_outcome::failed : exchange_outcome::rejected,
+           status_bad_request, why);
+}
+
+} // namespace hickorypost::gateway
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -130,6 +130,7 @@
     } else {
         out += expected_service_ms(load, all, now) * (1 + running / slots);
     }
+    out += job.suspect ? running * settings_.suspect_beside_ms : 0;
     out += failure_cost_ms *
            std::max(0.0, failures_now(load, now) - all.failures - settings_.failure_margin);
     out += static_cast<double>(it.record.cold_ms) > 0 ? settings_.service_ms : 0;
--- /dev/null
+++ b/modules/gateway/tests/crash_ledger_test.cpp
@@ -0,0 +1,180 @@
+#include "hickorypost/gateway/crash_ledger.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::gateway;
+using standing = crash_ledger::standing;
+
+constexpr request_identity crasher{1, 1};
+constexpr request_identity good{2, 2};
+constexpr request_identity other{3, 3};
+
+struct one_ledger {
+    explicit one_ledger(crash_ledger_settings settings = {})
+        : ledger{settings, now_fn(), share_fn()}
+    {
+    }
+
+    clock_fn now_fn()
+    {
+        return [this] { return now; };
+    }
+    crash_ledger::share_fn share_fn()
+    {
+        return [this](const crash_fact& it) { shared.push_back(it); };
+    }
+    /// A backend server ends while these are in flight, each sent 100 ms before.
+    void crash(const std::string& backend, const std::vector<request_identity>& in_flight)
+    {
+        now += millis{200};
+        for (const auto& it : in_flight) {
+            ledger.crashed(it, backend, now - millis{100});
+        }
+    }
+
+    instant now{millis{100'000}};
+    std::vector<crash_fact> shared;
+    crash_ledger ledger;
+};
+
+std::vector<std::uint32_t> counts(const crash_ledger& it)
+{
+    return {it.crashes(crasher), it.crashes(good), it.crashes(other)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_ledger_suite)
+
+// Guards against a request that crashes more than three backend servers.
+BOOST_AUTO_TEST_CASE(request_is_refused_after_three_crashes)
+{
+    one_ledger it;
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::unknown));
+    it.crash("i-1", {crasher});
+    it.crash("i-2", {crasher});
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::suspect));
+    it.crash("i-3", {crasher});
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
+}
+
+// Guards against refusing requests that were in flight beside the one that crashes.
+BOOST_AUTO_TEST_CASE(requests_beside_a_crashing_one_are_not_refused)
+{
+    one_ledger it;
+    it.crash("i-1", {crasher, good});
+    it.crash("i-2", {crasher, other});
+    it.crash("i-3", {crasher, good});
+    it.crash("i-4", {crasher, good});
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
+    BOOST_TEST((it.ledger.standing_of(good) == standing::suspect));
+    BOOST_TEST((it.ledger.standing_of(other) == standing::suspect));
+}
+
+// Guards against refusing a request that has succeeded since.
+BOOST_AUTO_TEST_CASE(success_clears)
+{
+    one_ledger it;
+    it.crash("i-1", {good});
+    it.crash("i-2", {good});
+    BOOST_TEST(it.ledger.clear(good));
+    it.crash("i-3", {good});
+    BOOST_TEST(it.ledger.crashes(good) == 1U);
+    BOOST_TEST(!it.ledger.clear(crasher));
+}
+
+// Guards against refusing equal requests of many callers, when backend servers end at one moment.
+BOOST_AUTO_TEST_CASE(backends_that_end_at_the_same_moment_count_once)
+{
+    one_ledger it;
+    for (const auto* const backend : {"i-1", "i-2", "i-3", "i-4"}) {
+        it.ledger.crashed(good, backend, it.now - millis{800});
+        it.now += millis{5};
+    }
+    BOOST_TEST(it.ledger.crashes(good) == 1U);
+}
+
+// Guards against blame for a cut that refuses connections while the backend server runs on.
+BOOST_AUTO_TEST_CASE(heartbeats_of_a_backend_refute_its_crash)
+{
+    one_ledger it;
+    it.crash("i-1", {good});
+    it.ledger.heartbeat("i-1");
+    BOOST_TEST(it.ledger.crashes(good) == 1U);
+    it.ledger.heartbeat("i-1");
+    BOOST_TEST(it.ledger.crashes(good) == 0U);
+}
+
+// Guards against a refusal for ever, after a new version has fixed what crashed.
+BOOST_AUTO_TEST_CASE(refused_request_is_tried_again_ever_less_often)
+{
+    one_ledger it;
+    for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
+        it.crash(backend, {crasher});
+    }
+    it.now += millis{59'000};
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
+    it.now += millis{2000};
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::trial));
+    it.ledger.tried(crasher);
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
+    it.crash("i-4", {crasher});
+    it.now += millis{61'000};
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
+    it.now += millis{60'000};
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::trial));
+    it.ledger.clear(crasher);
+    BOOST_TEST((it.ledger.standing_of(crasher) == standing::unknown));
+}
+
+// Guards against hosts that come to different decisions after a cut.
+BOOST_AUTO_TEST_CASE(facts_merge_to_the_same_in_any_order)
+{
+    one_ledger here;
+    here.crash("i-1", {crasher, good});
+    here.crash("i-2", {crasher, good, other});
+    here.ledger.clear(good);
+    here.crash("i-3", {crasher, good});
+    here.crash("i-4", {crasher});
+    std::mt19937 random{7};
+    for (int turn = 0; turn < 200; ++turn) {
+        one_ledger there;
+        there.now = here.now;
+        auto facts = here.shared;
+        facts.insert(facts.end(), here.shared.begin(), here.shared.end());
+        std::shuffle(facts.begin(), facts.end(), random);
+        std::size_t news = 0;
+        for (const auto& fact : facts) {
+            news += there.ledger.take(fact) ? 1 : 0;
+        }
+        BOOST_REQUIRE(news <= here.shared.size());
+        BOOST_REQUIRE((counts(there.ledger) == counts(here.ledger)));
+        for (const auto& fact : here.ledger.all()) {
+            BOOST_REQUIRE(!there.ledger.take(fact));
+        }
+    }
+}
+
+// Guards against a caller that fills the memory with requests that all differ.
+BOOST_AUTO_TEST_CASE(facts_are_bounded_and_the_most_suspect_stay)
+{
+    one_ledger it{{.max_facts = 64}};
+    it.crash("i-1", {crasher});
+    it.crash("i-2", {crasher});
+    for (std::uint64_t n = 10; n < 10'000; ++n) {
+        it.crash("i-x" + std::to_string(n), {{n, n}});
+        BOOST_REQUIRE(it.ledger.all().size() <= 64U);
+    }
+    BOOST_TEST(it.ledger.crashes(crasher) == 2U);
+    it.now += millis{2'000'000};
+    it.ledger.expire();
+    BOOST_TEST(it.ledger.empty());
+    BOOST_TEST(!it.ledger.may_know(crasher.outline));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/crash_watch_test.cpp
+++ b/modules/gateway/tests/crash_watch_test.cpp
@@ -27,7 +27,7 @@
 
     std::uint64_t broke(const std::string& request, crash_watch::result_fn result = {})
     {
-        return watch.attempt_broke(target, {target.backend, target.service, request, {}},
+        return watch.attempt_broke(target, {target.backend, target.service, request, {}, {}},
                                    std::move(result));
     }
 };
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -77,7 +77,12 @@
     }
 
     void complete() { backends.last().events->on_complete(); }
-    void fault(attempt_fault how) { backends.last().events->on_fault(how); }
+    /// Until the attempt that follows has begun, or the last answer has been given.
+    void fault(attempt_fault how)
+    {
+        backends.last().events->on_fault(how);
+        timers.run_for(millis{0});
+    }
 
     fake_scheduler timers;
     fake_backends backends;
@@ -90,6 +95,7 @@
                             [](const attempt_target&) { return std::string{"alive?"}; },
                             [this](const std::string& it) { found_silent.push_back(it); }};
     fake_dials dials{timers};
+    crash_ledger suspects{{}, [this] { return timers.now; }, [](const crash_fact&) {}};
     std::vector<crashed_attempt> crashed;
     crash_watch crashes{{},
                         timers,
@@ -98,7 +104,10 @@
                             return dials.open(to, done);
                         },
                         [](const attempt_target&) { return false; },
-                        [this](const crashed_attempt& it) { crashed.push_back(it); }};
+                        [this](const crashed_attempt& it) {
+                            crashed.push_back(it);
+                            suspects.crashed(it.identity, it.backend, it.began);
+                        }};
     fake_caller caller;
     backend_directory directory{{}};
     load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
@@ -117,6 +126,7 @@
         backends,
         liveness,
         crashes,
+        suspects,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -49,6 +49,7 @@
     version_report = 68,
     session_pins = 69,
     probe_failure = 70,
+    crash_facts = 71,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -434,6 +435,22 @@
     std::string failure_domain;
 };
 
+/// A `gateway::crash_fact`, with ages instead of instants.
+struct crash_row {
+    std::uint8_t kind = 0;
+    std::uint64_t outline = 0;
+    std::uint64_t digest = 0;
+    std::string backend;
+    std::uint64_t began_age_ms = 0;
+    std::uint64_t age_ms = 0;
+};
+
+/// What a host has learned about requests that crash backend servers.
+struct crash_facts {
+    static constexpr auto type = message_type::crash_facts;
+    std::vector<crash_row> rows;
+};
+
 /// What a host saw of versions in a roll-out since its last report; to the leader.
 struct version_report {
     static constexpr auto type = message_type::version_report;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -21,9 +21,10 @@
 } // namespace
 
 backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
-                           gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks)
-    : env_{env}, mesh_{mesh}, directory_{directory}, has_disk_{has_disk}, hooks_{std::move(hooks)},
-      relay_{has_disk}, loads_{env, mesh, balancer, has_disk, around_}
+                           gateway::crash_ledger& suspects, gateway::load_balancer& balancer,
+                           bool has_disk, feed_hooks hooks)
+    : env_{env}, mesh_{mesh}, directory_{directory}, suspects_{suspects}, has_disk_{has_disk},
+      hooks_{std::move(hooks)}, relay_{has_disk}, loads_{env, mesh, balancer, has_disk, around_}
 {
 }
 
@@ -53,6 +54,9 @@
 {
     const auto change = directory_.take(record, env_.now());
     drop_superseded();
+    if (change != gateway::backend_directory::change::none) {
+        suspects_.heartbeat(record.id);
+    }
     if (change == gateway::backend_directory::change::changed) {
         apply(record);
         spread(wire::backend_update{{wire::encode(record)}, {}}, mesh_.self());
@@ -105,7 +109,11 @@
     }
     drop_superseded();
     for (const auto& it : update.touches) {
-        relay_.heard(it.id, it.sequence, directory_.touch(it.id, it.sequence, now));
+        const bool is_news = directory_.touch(it.id, it.sequence, now);
+        if (is_news) {
+            suspects_.heartbeat(it.id);
+        }
+        relay_.heard(it.id, it.sequence, is_news);
     }
     if (!news.records.empty()) {
         spread(news, from);
@@ -132,6 +140,54 @@
     spread(failure, from);
 }
 
+wire::crash_row backend_feed::encode(const gateway::crash_fact& fact) const
+{
+    const instant now = env_.now();
+    const auto age = [now](instant at) { return static_cast<std::uint64_t>(to_millis(now - at)); };
+    const bool crashed = fact.kind == gateway::crash_fact::kind_type::crashed;
+    return {static_cast<std::uint8_t>(fact.kind),
+            fact.identity.outline,
+            fact.identity.digest,
+            fact.backend,
+            crashed ? age(fact.began) : 0,
+            age(fact.at)};
+}
+
+gateway::crash_fact backend_feed::decode(const wire::crash_row& row) const
+{
+    const instant now = env_.now();
+    const auto at = [now](std::uint64_t age) {
+        return now - millis{static_cast<std::int64_t>(age)};
+    };
+    return {static_cast<gateway::crash_fact::kind_type>(row.kind),
+            {row.outline, row.digest},
+            row.backend,
+            at(row.began_age_ms),
+            at(row.age_ms)};
+}
+
+void backend_feed::share(const gateway::crash_fact& fact)
+{
+    unshared_.rows.push_back(encode(fact));
+    if (!share_timer_.armed()) {
+        share_timer_ = net::timer::once(
+            millis{0}, [this] { spread(std::exchange(unshared_, {}), mesh_.self()); });
+    }
+}
+
+void backend_feed::take_crash_facts(const node_id& from, const wire::crash_facts& facts)
+{
+    wire::crash_facts news;
+    for (const auto& row : facts.rows) {
+        if (suspects_.take(decode(row))) {
+            news.rows.push_back(row);
+        }
+    }
+    if (!news.rows.empty()) {
+        spread(news, from);
+    }
+}
+
 void backend_feed::send_all(const node_id& to)
 {
     wire::backend_update out;
@@ -139,6 +195,13 @@
         out.records.push_back(wire::encode(it));
     }
     mesh_.send(to, out);
+    wire::crash_facts facts;
+    for (const auto& it : suspects_.all()) {
+        facts.rows.push_back(encode(it));
+    }
+    if (!facts.rows.empty()) {
+        mesh_.send(to, facts);
+    }
 }
 
 std::vector<node_id> backend_feed::best_attachments() const
@@ -236,6 +299,11 @@
             take_probe_failure(from, *it);
         }
         return true;
+    case wire::message_type::crash_facts:
+        if (const auto it = wire::try_decode<wire::crash_facts>(body)) {
+            take_crash_facts(from, *it);
+        }
+        return true;
     case wire::message_type::load_report:
         if (const auto it = wire::try_decode<wire::load_report>(body)) {
             loads_.take_report(from, *it);
@@ -263,6 +331,7 @@
     loads_.tick();
     if (const instant now = env_.now(); now >= expire_due_) {
         expire_due_ = now + expire_period;
+        suspects_.expire();
         for (const auto& it : directory_.expire(now)) {
             env_.log->info("backend server {} {}", it.id,
                            it.silent ? "is silent: used only where no other is left"
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -3,6 +3,7 @@
 #include "gateway/load_feed.h"
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/crash_ledger.h"
 #include "hickorypost/gateway/heartbeat_relay.h"
 #include "hickorypost/gateway/load_balancer.h"
 #include "hickorypost/net/timer.h"
@@ -29,7 +30,8 @@
 class backend_feed {
 public:
     backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
-                 gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks);
+                 gateway::crash_ledger& suspects, gateway::load_balancer& balancer, bool has_disk,
+                 feed_hooks hooks);
 
     void start();
     load_feed& loads() noexcept { return loads_; }
@@ -38,6 +40,8 @@
     /// A backend server has failed this host's liveness probe: all hosts avoid it until its next
     /// heartbeat.
     void report_unresponsive(const std::string& backend);
+    /// Tells all hosts what this one has found out about a request.
+    void share(const gateway::crash_fact& fact);
     /// Tells all hosts of sessions that stay on their old version.
     void spread_pins(std::vector<std::uint64_t> sessions);
     void on_link_up(const node_id& host);
@@ -59,6 +63,9 @@
     }
     void send_all(const node_id& to);
     void take_update(const node_id& from, const wire::backend_update& update);
+    void take_crash_facts(const node_id& from, const wire::crash_facts& facts);
+    [[nodiscard]] wire::crash_row encode(const gateway::crash_fact& fact) const;
+    [[nodiscard]] gateway::crash_fact decode(const wire::crash_row& row) const;
     void take_probe_failure(const node_id& from, const wire::probe_failure& failure);
     void choose_attachments();
     [[nodiscard]] std::vector<node_id> best_attachments() const;
@@ -67,6 +74,7 @@
     runtime& env_;
     peer_mesh& mesh_;
     gateway::backend_directory& directory_;
+    gateway::crash_ledger& suspects_;
     bool has_disk_;
     feed_hooks hooks_;
     gateway::heartbeat_relay relay_;
@@ -74,6 +82,8 @@
     load_feed loads_;
     instant expire_due_;
     std::uint64_t turn_ = 0;
+    wire::crash_facts unshared_; ///< those of this turn of the main loop
+    net::timer share_timer_;
     net::timer timer_;
 };
 
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -75,6 +75,10 @@
         return begin_rollout(request);
     case platform::call_kind::get_rollout:
         return get_rollout(call.argument, request);
+    case platform::call_kind::list_suspects:
+        return list_suspects(request);
+    case platform::call_kind::clear_suspect:
+        return clear_suspect(call.argument, request);
     case platform::call_kind::ready:
     case platform::call_kind::unknown:
         break;
@@ -248,4 +252,24 @@
     });
 }
 
+void control_calls::list_suspects(const incoming_request& request)
+{
+    answer(*request.answer, status_ok, platform::encode_suspects(suspects_.suspects()));
+}
+
+void control_calls::clear_suspect(const std::string& identity, const incoming_request& request)
+{
+    const auto parsed = gateway::parse_identity(identity);
+    if (!parsed) {
+        refuse(*request.answer, status_bad_request, "identity: expected 32 hex digits");
+        return;
+    }
+    if (!suspects_.clear(*parsed)) {
+        refuse(*request.answer, status_not_found, "no such suspect");
+        return;
+    }
+    env_.log->info("suspect {} cleared by an operator", identity);
+    answer(*request.answer, status_ok, "{}");
+}
+
 } // namespace hickorypost
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -15,10 +15,10 @@
 public:
     /// `may_serve`: whether the configuration in force names a service, or none is in force yet.
     control_calls(runtime& env, control_plane& control, backend_feed& feed,
-                  const gateway::backend_directory& directory,
+                  const gateway::backend_directory& directory, gateway::crash_ledger& suspects,
                   std::function<bool(const std::string& service)> may_serve)
-        : env_{env}, control_{control}, feed_{feed}, directory_{directory}, may_serve_{std::move(
-                                                                                may_serve)}
+        : env_{env}, control_{control}, feed_{feed}, directory_{directory}, suspects_{suspects},
+          may_serve_{std::move(may_serve)}
     {
     }
 
@@ -37,11 +37,14 @@
     void get_config(const incoming_request& request);
     void begin_rollout(const incoming_request& request);
     void get_rollout(const std::string& service, const incoming_request& request);
+    void list_suspects(const incoming_request& request);
+    void clear_suspect(const std::string& identity, const incoming_request& request);
 
     runtime& env_;
     control_plane& control_;
     backend_feed& feed_;
     const gateway::backend_directory& directory_;
+    gateway::crash_ledger& suspects_;
     std::function<bool(const std::string& service)> may_serve_;
     instant refusal_logged_; ///< the last line about a refused record
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -6,6 +6,7 @@
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -63,6 +64,7 @@
                 env.now,
                 platform::encode_liveness_probe,
                 [this](const std::string& backend) { feed_->report_unresponsive(backend); }},
+      suspects_{{}, env.now, [this](const gateway::crash_fact& it) { feed_->share(it); }},
       crashes_{{},
                timers_,
                env.now,
@@ -71,7 +73,10 @@
                                                          std::move(done));
                },
                [this](const gateway::attempt_target& it) { return end_expected(it); },
-               [this](const gateway::crashed_attempt& it) { journal_.crashed(it); }},
+               [this](const gateway::crashed_attempt& it) {
+                   suspects_.crashed(it.identity, it.backend, it.began);
+                   journal_.crashed(it, suspects_.crashes(it.identity));
+               }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -81,6 +86,7 @@
                 pool_,
                 liveness_,
                 crashes_,
+                suspects_,
                 timers_,
                 env.now,
                 env.random,
@@ -144,10 +150,10 @@
     for_feed.pins = [this](const std::vector<std::uint64_t>& sessions) {
         rollouts_.pin(sessions, env_.now());
     };
-    feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, balancer_, has_disk,
+    feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, suspects_, balancer_, has_disk,
                                            std::move(for_feed));
     calls_ = std::make_unique<control_calls>(
-        env_, *control_, *feed_, directory_, [this](const std::string& service) {
+        env_, *control_, *feed_, directory_, suspects_, [this](const std::string& service) {
             return !table_ || table_->find_service(service) != nullptr;
         });
 
@@ -382,6 +388,11 @@
     to.set("ready", ready() ? 1 : 0);
     to.set("backends_known", static_cast<double>(directory_.size()));
     to.set("backends_silent", static_cast<double>(directory_.silent()));
+    const auto suspects = suspects_.suspects();
+    to.set("request_suspects", static_cast<double>(suspects.size()));
+    to.set("requests_refused_as_crashing",
+           static_cast<double>(std::count_if(suspects.begin(), suspects.end(),
+                                             [](const auto& it) { return it.refused; })));
     to.set("backend_connections{state=\"idle\"}", static_cast<double>(pool_.idle()));
     to.set("backend_connections{state=\"busy\"}", static_cast<double>(pool_.busy()));
     to.set("backend_connections_opened", static_cast<double>(pool_.opened()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -73,6 +73,7 @@
     std::map<std::string, gateway::retry_window> windows_;
     backend_pool pool_;
     gateway::liveness_probe liveness_;
+    gateway::crash_ledger suspects_;
     gateway::crash_watch crashes_;
     request_journal journal_;
     gateway::exchange_services services_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -141,7 +141,7 @@
     env_.log->info("{}", line.payload());
 }
 
-void request_journal::crashed(const gateway::crashed_attempt& attempt)
+void request_journal::crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes)
 {
     env_.metrics.count("request_crashes_total");
     if (!may_write(true)) {
@@ -151,7 +151,8 @@
     line.add("request", attempt.request)
         .add("identity", gateway::to_text(attempt.identity))
         .add("service", attempt.service)
-        .add("backend", attempt.backend);
+        .add("backend", attempt.backend)
+        .add("crashes", crashes);
     env_.log->info("{}", line.payload());
 }
 
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -19,7 +19,8 @@
     void decision(const gateway::exchange_record& record, std::string_view what,
                   std::string_view why);
     /// A backend server has ended while this request was in flight there.
-    void crashed(const gateway::crashed_attempt& attempt);
+    /// `crashes`: that count against the request.
+    void crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes);
     /// A connection was closed while its caller was owed an answer.
     void lost(const connection_loss& loss);
     /// Once a second: renews the line budgets and logs how many lines were left out.
