--- /dev/null
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "hickorypost/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorypost::gateway {
+
+/// What an answer says of its backend server's limit.
+struct limit_statement {
+    enum class kind_type : std::uint8_t {
+        none,       ///< it has no limit
+        named,      ///< `per_second`
+        unreadable, ///< nothing that can be understood
+    };
+    kind_type kind = kind_type::none;
+    double per_second = 0; ///< requests, from all hosts together
+};
+
+/// A wish for a permit, as a host tells it the host that grants them.
+struct permit_request {
+    std::string backend;
+    double per_second = 0; ///< the newest limit that the asking host knows
+    int priority = 0;      ///< of its most urgent request that had no room; 0 is first
+};
+
+struct permit_reply {
+    std::string backend;
+    bool granted = false;
+    millis room_in{0}; ///< until there is likely to be a permit, if not `granted`
+};
+
+/// A limit as this host knows it has begun, changed or ended.
+struct limit_change {
+    std::string backend;
+    std::optional<double> per_second; ///< nothing: it has ended
+    std::uint64_t sent = 0;           ///< requests that this host has sent there under the limit
+};
+
+struct limit_settings {
+    /// A permit that is not used within this time is lost.
+    millis permit_lifetime{500};
+    /// A wish that has got no permit is told again after this long.
+    millis ask_again{250};
+    /// A less urgent request gets no permit for this long after a more urgent one had no room.
+    millis urgent_hold{1000};
+    /// A limit that no answer has named for this long is forgotten.
+    millis lifetime{30'000};
+    /// A wish is answered within this time, or nobody grants permits: then each host sends a part
+    /// of an equal share.
+    millis reply_timeout{1500};
+    double unattended_part = 0.5;
+    /// Change of a limit that is told to other hosts, as a ratio, and how often.
+    double min_told_change = 0.1;
+    millis min_told_gap{1000};
+    /// Permits asked for in one turn.
+    std::size_t max_wishes = 8;
+};
+
+/// The limits that backend servers have named, and this host's permits to send to them. Performs no
+/// I/O itself.
+///
+/// A limit is for all hosts together, so one host grants permits for all. A host that hears nothing
+/// from it sends less than its equal share.
+class backend_limits {
+public:
+    /// Called for what an answer to this host says, at a bounded rate.
+    using changed_fn = std::function<void(const limit_change&)>;
+    /// Called for a limit that cannot be understood and is ignored, at a bounded rate.
+    using unreadable_fn = std::function<void(const std::string& backend)>;
+    /// There are wishes to be told.
+    using wanted_fn = std::function<void()>;
+
+    backend_limits(limit_settings settings, clock_fn now, std::function<std::size_t()> hosts,
+                   changed_fn changed, unreadable_fn unreadable, wanted_fn wanted);
+
+    /// An answer of that backend server to this host.
+    void saw(const std::string& backend, const limit_statement& statement);
+    /// Another host tells of a limit; nothing: it has ended. Returns the change if it is one.
+    std::optional<limit_change> take(const std::string& backend, std::optional<double> limit);
+    void forget(std::string_view backend);
+    void expire();
+
+    [[nodiscard]] bool empty() const noexcept { return entries_.empty(); }
+    [[nodiscard]] std::optional<double> limit_of(std::string_view backend) const;
+    /// Whether a request of this priority may be sent there now.
+    [[nodiscard]] bool has_room(std::string_view backend, int priority) const;
+    /// A request is sent there: uses a permit.
+    void sent(std::string_view backend);
+    /// A request would be sent there if there were a permit.
+    void want(std::string_view backend, int priority);
+    /// A request found no room anywhere.
+    void no_room(int priority);
+    void replied(const permit_reply& reply);
+    /// When there is likely to be room on one of these, as far as is known.
+    [[nodiscard]] millis room_in(std::span<const std::string_view> backends) const;
+    /// Wishes to be told now, most urgent first.
+    std::vector<permit_request> take_wishes();
+    /// All limits, for a host that has just begun to listen.
+    [[nodiscard]] std::map<std::string, double> all() const;
+
+private:
+    struct entry {
+        double per_second = 0;
+        instant named;              ///< by an answer to any host
+        std::optional<double> told; ///< to other hosts
+        instant told_at;
+        std::vector<instant> permits; ///< when each is lost
+        std::optional<int> wish;      ///< priority of a request that had no room
+        instant asked;
+        std::optional<instant> unanswered_since; ///< the first wish that got no reply
+        instant room_at;                         ///< when there is likely to be a permit
+        instant unattended_due; ///< next request without a permit, if nobody grants any
+        std::uint64_t sent = 0;
+    };
+
+    [[nodiscard]] bool unattended(const entry& it) const;
+    void begin(const std::string& backend, double per_second);
+
+    limit_settings settings_;
+    clock_fn now_;
+    std::function<std::size_t()> hosts_;
+    changed_fn changed_;
+    unreadable_fn unreadable_;
+    wanted_fn wanted_;
+    std::map<std::string, entry, std::less<>> entries_; ///< by incarnation
+    int short_priority_ = 0;                            ///< of the most urgent request without room
+    instant short_until_;
+    instant unreadable_due_; ///< the next one is reported from then on
+};
+
+} // namespace hickorypost::gateway
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -104,6 +104,7 @@
     liveness_probe& liveness;
     crash_watch& crashes;
     crash_ledger& suspects;
+    backend_limits& limits;
     scheduler& timers;
     clock_fn now;
     random_fn random;
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -3,6 +3,7 @@
 /// ports through which bytes come and go.
 
 #include "hickorypost/base/time.h"
+#include "hickorypost/gateway/backend_limits.h"
 #include "hickorypost/gateway/load_balancer.h"
 #include "hickorypost/http1/message.h"
 
@@ -55,6 +56,7 @@
     bool encoded = false;       ///< the body is not the backend server's own
     std::string request_id;     ///< whose answer it is
     std::optional<double> confidence; ///< 0 to 1: the model's opinion of its answer
+    limit_statement limit;
 };
 
 /// Why an attempt ended without a whole answer.
--- /dev/null
+++ b/modules/gateway/src/backend_limits.cpp
@@ -0,0 +1,237 @@
+#include "hickorypost/gateway/backend_limits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hickorypost::gateway {
+
+backend_limits::backend_limits(limit_settings settings, clock_fn now,
+                               std::function<std::size_t()> hosts, changed_fn changed,
+                               unreadable_fn unreadable, wanted_fn wanted)
+    : settings_{settings}, now_{std::move(now)}, hosts_{std::move(hosts)},
+      changed_{std::move(changed)}, unreadable_{std::move(unreadable)}, wanted_{std::move(wanted)}
+{
+}
+
+void backend_limits::begin(const std::string& backend, double per_second)
+{
+    const instant now = now_();
+    const auto [at, is_new] = entries_.try_emplace(backend);
+    entry& it = at->second;
+    it.per_second = per_second;
+    it.named = now;
+    if (is_new) {
+        it.unattended_due = now;
+    }
+}
+
+void backend_limits::saw(const std::string& backend, const limit_statement& statement)
+{
+    if (statement.kind == limit_statement::kind_type::unreadable) {
+        if (now_() >= unreadable_due_) {
+            unreadable_due_ = now_() + settings_.min_told_gap;
+            unreadable_(backend);
+        }
+        return;
+    }
+    if (statement.kind == limit_statement::kind_type::none) {
+        if (const auto found = entries_.find(backend); found != entries_.end()) {
+            const limit_change change{backend, std::nullopt, found->second.sent};
+            entries_.erase(found);
+            changed_(change);
+        }
+        return;
+    }
+    begin(backend, statement.per_second);
+    entry& it = entries_.at(backend);
+    const instant now = now_();
+    const bool differs =
+        !it.told || std::abs(*it.told - it.per_second) >
+                        settings_.min_told_change * std::max(*it.told, it.per_second);
+    if (!it.told || (differs && now >= it.told_at + settings_.min_told_gap)) {
+        it.told = it.per_second;
+        it.told_at = now;
+        changed_({backend, it.per_second, it.sent});
+    }
+}
+
+std::optional<limit_change> backend_limits::take(const std::string& backend,
+                                                 std::optional<double> limit)
+{
+    const auto found = entries_.find(backend);
+    const std::uint64_t sent = found == entries_.end() ? 0 : found->second.sent;
+    const auto known = limit_of(backend);
+    if (limit) {
+        begin(backend, *limit);
+        entry& it = entries_.at(backend);
+        it.told = limit;
+        it.told_at = now_();
+    } else if (found != entries_.end()) {
+        entries_.erase(found);
+    }
+    return known == limit ? std::nullopt : std::optional{limit_change{backend, limit, sent}};
+}
+
+void backend_limits::forget(std::string_view backend)
+{
+    if (const auto found = entries_.find(backend); found != entries_.end()) {
+        entries_.erase(found);
+    }
+}
+
+void backend_limits::expire()
+{
+    const instant now = now_();
+    std::erase_if(entries_,
+                  [&](const auto& it) { return now > it.second.named + settings_.lifetime; });
+}
+
+std::optional<double> backend_limits::limit_of(std::string_view backend) const
+{
+    const auto found = entries_.find(backend);
+    return found == entries_.end() ? std::nullopt : std::optional{found->second.per_second};
+}
+
+bool backend_limits::unattended(const entry& it) const
+{
+    const instant now = now_();
+    return it.unanswered_since && now > *it.unanswered_since + settings_.reply_timeout &&
+           now >= it.unattended_due;
+}
+
+bool backend_limits::has_room(std::string_view backend, int priority) const
+{
+    const auto found = entries_.find(backend);
+    if (found == entries_.end()) {
+        return true;
+    }
+    const instant now = now_();
+    if (priority > short_priority_ && now < short_until_) {
+        return false;
+    }
+    const auto& permits = found->second.permits;
+    return std::any_of(permits.begin(), permits.end(), [now](instant end) { return now < end; }) ||
+           unattended(found->second);
+}
+
+void backend_limits::sent(std::string_view backend)
+{
+    const auto found = entries_.find(backend);
+    if (found == entries_.end()) {
+        return;
+    }
+    entry& it = found->second;
+    const instant now = now_();
+    it.wish.reset();
+    ++it.sent;
+    std::erase_if(it.permits, [now](instant end) { return now >= end; });
+    if (!it.permits.empty()) {
+        it.permits.erase(it.permits.begin());
+        return;
+    }
+    constexpr double micros_per_second = 1e6;
+    const double share = settings_.unattended_part * it.per_second /
+                         static_cast<double>(std::max<std::size_t>(1, hosts_()));
+    const double gap = std::min(micros_per_second / std::max(share, 1e-9),
+                                static_cast<double>(micros{settings_.lifetime}.count()));
+    it.unattended_due = now + micros{static_cast<std::int64_t>(gap)};
+}
+
+void backend_limits::want(std::string_view backend, int priority)
+{
+    const auto found = entries_.find(backend);
+    if (found == entries_.end()) {
+        return;
+    }
+    entry& it = found->second;
+    it.wish = it.wish ? std::min(*it.wish, priority) : priority;
+    if (now_() >= it.asked + settings_.ask_again) {
+        wanted_();
+    }
+}
+
+void backend_limits::no_room(int priority)
+{
+    const instant now = now_();
+    if (now >= short_until_ || priority <= short_priority_) {
+        short_priority_ = priority;
+        short_until_ = now + settings_.urgent_hold;
+    }
+}
+
+void backend_limits::replied(const permit_reply& reply)
+{
+    const auto found = entries_.find(reply.backend);
+    if (found == entries_.end()) {
+        return;
+    }
+    entry& it = found->second;
+    const instant now = now_();
+    it.unanswered_since.reset();
+    if (reply.granted) {
+        it.permits.push_back(now + settings_.permit_lifetime);
+        it.asked = {};
+    } else {
+        it.room_at = now + reply.room_in;
+    }
+}
+
+millis backend_limits::room_in(std::span<const std::string_view> backends) const
+{
+    const instant now = now_();
+    micros out = settings_.lifetime;
+    for (const auto backend : backends) {
+        const auto found = entries_.find(backend);
+        if (found == entries_.end()) {
+            continue;
+        }
+        const entry& it = found->second;
+        // Without a reply: as if all hosts took turns.
+        constexpr double micros_per_second = 1e6;
+        constexpr double min_per_second = 1e-3;
+        const double turn = micros_per_second * static_cast<double>(hosts_()) /
+                            std::max(it.per_second, min_per_second);
+        const micros known =
+            it.room_at > now ? it.room_at - now : micros{static_cast<std::int64_t>(turn)};
+        out = std::min(out, known);
+    }
+    return std::chrono::duration_cast<millis>(out);
+}
+
+std::vector<permit_request> backend_limits::take_wishes()
+{
+    const instant now = now_();
+    std::vector<permit_request> out;
+    for (const auto& [backend, it] : entries_) {
+        if (it.wish && now >= it.asked + settings_.ask_again) {
+            out.push_back({backend, it.per_second, *it.wish});
+        }
+    }
+    std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+        return std::pair{a.priority, -a.per_second} < std::pair{b.priority, -b.per_second};
+    });
+    if (out.size() > settings_.max_wishes) {
+        out.resize(settings_.max_wishes);
+    }
+    for (const auto& it : out) {
+        entry& known = entries_.find(it.backend)->second;
+        known.asked = now;
+        known.wish.reset();
+        if (!known.unanswered_since) {
+            known.unanswered_since = now;
+        }
+    }
+    return out;
+}
+
+std::map<std::string, double> backend_limits::all() const
+{
+    std::map<std::string, double> out;
+    for (const auto& [backend, it] : entries_) {
+        out.emplace(backend, it.per_second);
+    }
+    return out;
+}
+
+} // namespace hickorypost::gateway
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -29,6 +29,9 @@
     if (!answer.request_id.empty() && answer.request_id != request_.id) {
         return false; // a late extra answer to an earlier request of this connection
     }
+    if (!answer.wrong_backend) {
+        services_.limits.saw(record_.backend, answer.limit);
+    }
     if (!answer.ran) {
         handle_not_run(answer);
         return true;
--- /dev/null
+++ b/modules/gateway/tests/backend_limits_test.cpp
@@ -0,0 +1,80 @@
+#include "hickorypost/gateway/backend_limits.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::gateway;
+using kind = limit_statement::kind_type;
+
+struct one_host {
+    instant now{millis{100'000}};
+    std::vector<limit_change> changes;
+    int unreadable = 0;
+    int wanted = 0;
+    backend_limits limits{{},
+                          [this] { return now; },
+                          [] { return std::size_t{4}; },
+                          [this](const limit_change& it) { changes.push_back(it); },
+                          [this](const std::string&) { ++unreadable; },
+                          [this] { ++wanted; }};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_limits_suite)
+
+// Guards against a limit that nobody hears of, and against one that outlasts its end.
+BOOST_AUTO_TEST_CASE(limit_begins_changes_and_ends_with_the_answers)
+{
+    one_host it;
+    it.limits.saw("i-1", {});
+    BOOST_TEST(it.changes.empty());
+    it.limits.saw("i-1", {kind::named, 2.5});
+    BOOST_TEST(it.limits.limit_of("i-1").value_or(0) == 2.5);
+    it.now += millis{2000};
+    it.limits.saw("i-1", {kind::named, 4});
+    it.limits.saw("i-1", {});
+    BOOST_TEST(it.limits.empty());
+    BOOST_REQUIRE(it.changes.size() == 3U);
+    BOOST_TEST(it.changes[1].per_second.value_or(0) == 4);
+    BOOST_TEST(!it.changes[2].per_second.has_value());
+}
+
+// Guards against a line and a message for each answer, when each names another value.
+BOOST_AUTO_TEST_CASE(changes_are_told_at_a_bounded_rate)
+{
+    one_host it;
+    for (int n = 0; n < 1000; ++n) {
+        it.limits.saw("i-1", {kind::named, 2.0 + n % 7});
+        it.now += millis{5};
+    }
+    BOOST_TEST(it.changes.size() <= 6U);
+}
+
+// Guards against a value that cannot be understood, which neither ends a limit nor floods the log.
+BOOST_AUTO_TEST_CASE(unreadable_limit_changes_nothing)
+{
+    one_host it;
+    it.limits.saw("i-1", {kind::named, 2.5});
+    for (int n = 0; n < 100; ++n) {
+        it.limits.saw("i-1", {kind::unreadable, 0});
+        it.limits.saw("i-2", {kind::unreadable, 0});
+    }
+    BOOST_TEST(it.limits.limit_of("i-1").value_or(0) == 2.5);
+    BOOST_TEST(!it.limits.limit_of("i-2").has_value());
+    BOOST_TEST(it.unreadable == 1);
+}
+
+// Guards against a limit that lasts for ever, when no answer comes any more.
+BOOST_AUTO_TEST_CASE(limit_that_no_answer_names_is_forgotten)
+{
+    one_host it;
+    it.limits.saw("i-1", {kind::named, 0});
+    it.now += millis{31'000};
+    it.limits.expire();
+    BOOST_TEST(it.limits.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -108,6 +108,15 @@
                             crashed.push_back(it);
                             suspects.crashed(it.identity, it.backend, it.began);
                         }};
+    std::vector<limit_change> limit_changes;
+    std::size_t unreadable_limits = 0;
+    std::size_t permits_wanted = 0;
+    backend_limits limits{{},
+                          [this] { return timers.now; },
+                          [] { return std::size_t{4}; },
+                          [this](const limit_change& it) { limit_changes.push_back(it); },
+                          [this](const std::string&) { ++unreadable_limits; },
+                          [this] { ++permits_wanted; }};
     fake_caller caller;
     backend_directory directory{{}};
     load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
@@ -127,6 +136,7 @@
         liveness,
         crashes,
         suspects,
+        limits,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -77,6 +77,15 @@
                    suspects_.crashed(it.identity, it.backend, it.began);
                    journal_.crashed(it, suspects_.crashes(it.identity));
                }},
+      limits_{{},
+              env.now,
+              [this] { return control_->hosts(); },
+              [this](const gateway::limit_change& it) { journal_.limit_changed(it); },
+              [this](const std::string& backend) {
+                  env_.log->warn("backend server {} names a limit that cannot be read: ignored",
+                                 backend);
+              },
+              [] {}},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -87,6 +96,7 @@
                 liveness_,
                 crashes_,
                 suspects_,
+                limits_,
                 timers_,
                 env.now,
                 env.random,
@@ -139,10 +149,12 @@
     for_feed.gone = [this](const std::string& backend) {
         pool_.forget(backend);
         balancer_.forget(backend);
+        limits_.forget(backend);
     };
     for_feed.superseded = [this](const std::string& backend) {
         pool_.lost(backend);
         balancer_.forget(backend);
+        limits_.forget(backend);
     };
     for_feed.reaches_leader = [this](const node_id& host) {
         return control_->reaches_leader(host);
@@ -327,6 +339,7 @@
     }
     if (++turn_ % ticks_per_second == 0) {
         journal_.tick();
+        limits_.expire();
     }
     env_.log->flush();
 }
@@ -388,6 +401,7 @@
     to.set("ready", ready() ? 1 : 0);
     to.set("backends_known", static_cast<double>(directory_.size()));
     to.set("backends_silent", static_cast<double>(directory_.silent()));
+    to.set("backends_limited", static_cast<double>(limits_.all().size()));
     const auto suspects = suspects_.suspects();
     to.set("request_suspects", static_cast<double>(suspects.size()));
     to.set("requests_refused_as_crashing",
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -75,6 +75,7 @@
     gateway::liveness_probe liveness_;
     gateway::crash_ledger suspects_;
     gateway::crash_watch crashes_;
+    gateway::backend_limits limits_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -156,6 +156,17 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::limit_changed(const gateway::limit_change& change)
+{
+    telemetry::event_line line{change.per_second ? "backend_limited" : "backend_limit_ended"};
+    line.add("backend", change.backend);
+    if (change.per_second) {
+        line.add("per_second", *change.per_second);
+    }
+    line.add("sent", change.sent);
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::lost(const connection_loss& loss)
 {
     const std::string_view by = loss.by_caller ? "caller" : "host";
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -21,6 +21,8 @@
     /// A backend server has ended while this request was in flight there.
     /// `crashes`: that count against the request.
     void crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes);
+    /// A backend server's limit has begun, changed or ended.
+    void limit_changed(const gateway::limit_change& change);
     /// A connection was closed while its caller was owed an answer.
     void lost(const connection_loss& loss);
     /// Once a second: renews the line budgets and logs how many lines were left out.
