--- a/modules/gateway/include/hickorypost/gateway/backend_limits.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -101,7 +101,7 @@
     void no_room(int priority);
     void replied(const permit_reply& reply);
     /// When there is likely to be room on one of these, as far as is known.
-    [[nodiscard]] millis room_in(std::span<const std::string_view> backends) const;
+    [[nodiscard]] millis room_in(std::span<const std::string> backends) const;
     /// Wishes to be told now, most urgent first.
     std::vector<permit_request> take_wishes();
     /// All limits, for a host that has just begun to listen.
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -36,6 +36,10 @@
     /// time.
     millis backend_wait{1300};
     millis backend_poll{50};
+    /// A request waits this long for a permit, where all backend servers are limited: as long as
+    /// the host that grants them takes to reply.
+    millis permit_wait{45};
+    millis permit_poll{15};
     /// Silence, as a ratio of the route's targets, after which a resumable stream fails over.
     double silence_factor = 2.0;
     /// Silence of a backend server on an idempotent plain request, in multiples of the target.
@@ -83,6 +87,8 @@
     std::string reason;
     std::uint32_t attempts = 0;
     std::uint32_t candidates = 0;
+    std::uint32_t limited = 0;         ///< of those, refused to this request by their limits
+    std::optional<millis> retry_after; ///< as the caller was told
     std::uint64_t config_version = 0;
     std::uint64_t events = 0;
     micros to_first{0};
@@ -167,6 +173,13 @@
     void go_on_after_break(std::string_view why);
     void note_success();
     void refuse_as_crashing();
+    [[nodiscard]] int priority() const;
+    /// The best candidate with room under its limit; takes those without room out.
+    const backend_entry* choose(std::vector<const backend_entry*>& candidates, const job_size& job);
+    void want_room();
+    bool room_for_another();
+    bool wait_for_permit();
+    void refuse_for_limits();
     void end_attempt(attempt_result how);
     void next_attempt(std::string_view why);
     void handle_not_run(const backend_answer& answer);
@@ -217,6 +230,9 @@
     attempt_target target_; ///< of the current attempt
     std::optional<load_balancer::ticket> ticket_;
     std::vector<std::string> tried_;
+    std::vector<std::string> limited_; ///< that would be tried if their limits had room
+    instant permit_wait_end_;
+    std::optional<millis> retry_after_; ///< until there is room under a limit
     instant attempt_began_;
     instant attempt_first_;            ///< its first event; the epoch: none yet
     std::uint64_t attempt_events_ = 0; ///< after its first
--- a/modules/gateway/src/backend_limits.cpp
+++ b/modules/gateway/src/backend_limits.cpp
@@ -177,11 +177,11 @@
     }
 }
 
-millis backend_limits::room_in(std::span<const std::string_view> backends) const
+millis backend_limits::room_in(std::span<const std::string> backends) const
 {
     const instant now = now_();
     micros out = settings_.lifetime;
-    for (const auto backend : backends) {
+    for (const auto& backend : backends) {
         const auto found = entries_.find(backend);
         if (found == entries_.end()) {
             continue;
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -199,7 +199,13 @@
     job_size job = job_now();
     job.suspect =
         suspicion == crash_ledger::standing::suspect || suspicion == crash_ledger::standing::trial;
-    const auto* to = services_.balancer.choose(candidates, job, tried_, now);
+    const auto* const to = choose(candidates, job);
+    if (to == nullptr && !limited_.empty()) {
+        if (!wait_for_permit()) {
+            refuse_for_limits();
+        }
+        return;
+    }
     if (to == nullptr && candidates.empty() && wait_for_backends()) {
         return;
     }
@@ -238,8 +244,7 @@
     order.account = record_.account;
     order.wait = time_left();
     order.model = model_now();
-    order.priority =
-        account_ != nullptr && account_->priority ? *account_->priority : route_.priority;
+    order.priority = priority();
     order.last_event_id = events_.last_id();
     if (order.wait <= millis{0}) {
         deadline_passed();
@@ -255,6 +260,8 @@
     send_counted_ = false;
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::waiting;
     events_.restart();
+    permit_wait_end_ = {};
+    services_.limits.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     target_ = {to.record.id, to.record.address, record_.service,
                service_ == nullptr ? 0 : service_->max_connections};
@@ -343,8 +350,10 @@
     if (status == status_unavailable) {
         const double spread = unit_random(services_.random);
         const auto extra = static_cast<double>(settings.retry_after_span.count()) * spread;
-        wait = settings.least_retry_after + millis{static_cast<std::int64_t>(extra)};
+        wait = retry_after_.value_or(settings.least_retry_after) +
+               millis{static_cast<std::int64_t>(extra)};
     }
+    record_.retry_after = wait;
     caller_.respond(own_answer(status, wait), {});
     const auto outcome = status == status_unavailable ? exchange_outcome::not_run
                          : status == status_timeout   ? exchange_outcome::timed_out
--- /dev/null
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -0,0 +1,93 @@
+/// Request lifecycle, part five: backend servers that have named a limit.
+
+#include "hickorypost/gateway/exchange.h"
+
+#include <algorithm>
+
+namespace hickorypost::gateway {
+
+int exchange::priority() const
+{
+    return account_ != nullptr && account_->priority ? *account_->priority : route_.priority;
+}
+
+const backend_entry* exchange::choose(std::vector<const backend_entry*>& candidates,
+                                      const job_size& job)
+{
+    const instant now = services_.now();
+    auto& limits = services_.limits;
+    limited_.clear();
+    const auto* const best = services_.balancer.choose(candidates, job, tried_, now);
+    if (best == nullptr || limits.empty() || limits.has_room(best->record.id, priority())) {
+        return best;
+    }
+    limits.want(best->record.id, priority());
+    std::erase_if(candidates, [&](const backend_entry* it) {
+        const bool full = !limits.has_room(it->record.id, priority());
+        if (full && std::find(tried_.begin(), tried_.end(), it->record.id) == tried_.end()) {
+            limited_.push_back(it->record.id);
+        }
+        return full;
+    });
+    const auto* const other = services_.balancer.choose(candidates, job, tried_, now);
+    if (other == nullptr) {
+        want_room();
+    } else {
+        limited_.clear();
+    }
+    return other;
+}
+
+void exchange::want_room()
+{
+    for (const auto& backend : limited_) {
+        services_.limits.want(backend, priority());
+    }
+}
+
+bool exchange::room_for_another()
+{
+    auto& limits = services_.limits;
+    if (limits.empty()) {
+        return true;
+    }
+    limited_.clear();
+    for (const auto* const it : services_.directory.usable(record_.service, services_.now())) {
+        if (std::find(tried_.begin(), tried_.end(), it->record.id) != tried_.end()) {
+            continue;
+        }
+        if (limits.has_room(it->record.id, priority())) {
+            return true;
+        }
+        limited_.push_back(it->record.id);
+    }
+    want_room();
+    return false;
+}
+
+bool exchange::wait_for_permit()
+{
+    const auto& settings = services_.settings;
+    const instant now = services_.now();
+    if (permit_wait_end_ == instant{}) {
+        permit_wait_end_ = now + settings.permit_wait;
+    }
+    if (now >= permit_wait_end_) {
+        return false;
+    }
+    silence_timer_ = services_.timers.add(now + settings.permit_poll, [this] {
+        silence_timer_ = 0;
+        try_attempt();
+    });
+    return true;
+}
+
+void exchange::refuse_for_limits()
+{
+    services_.limits.no_room(priority());
+    record_.limited = static_cast<std::uint32_t>(limited_.size());
+    retry_after_ = services_.limits.room_in(limited_);
+    give_up("all backend servers are at the limits that they have named");
+}
+
+} // namespace hickorypost::gateway
--- a/modules/gateway/src/exchange_silence.cpp
+++ b/modules/gateway/src/exchange_silence.cpp
@@ -47,7 +47,9 @@
     const millis wait =
         std::max(settings.min_probe_delay, millis{static_cast<std::int64_t>(part)}) +
         services_.balancer.reading_left(target_.backend);
-    if (!settings.probe_silent_backends || !on_engine || wait >= patience) {
+    // A probe would count as a request under its limit.
+    const bool limited = services_.limits.limit_of(target_.backend).has_value();
+    if (!settings.probe_silent_backends || !on_engine || limited || wait >= patience) {
         return;
     }
     probe_timer_ = services_.timers.add(services_.now() + wait, [this] {
--- /dev/null
+++ b/modules/gateway/tests/exchange_limits_test.cpp
@@ -0,0 +1,102 @@
+#include "one_gateway.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::testing;
+
+void limit(one_gateway& it, const std::vector<std::string>& backends)
+{
+    for (const auto& backend : backends) {
+        it.limits.saw(backend, {limit_statement::kind_type::named, 2});
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(exchange_limits)
+
+// Guards against a limited backend server that is preferred, as little runs there.
+BOOST_AUTO_TEST_CASE(backends_with_room_take_what_a_limited_one_does_not)
+{
+    one_gateway it;
+    limit(it, {"b1", "b2"});
+    for (int n = 0; n < 20; ++n) {
+        it.ask(as_is);
+        BOOST_REQUIRE(it.backends.last().target.backend == "b3");
+    }
+    BOOST_TEST(it.permits_wanted > 0U);
+}
+
+// Guards against permits that are not used.
+BOOST_AUTO_TEST_CASE(permit_is_used_once)
+{
+    one_gateway it;
+    limit(it, {"b1", "b2", "b3"});
+    it.limits.replied({"b2", true, {}});
+    it.ask(as_is);
+    BOOST_TEST(it.backends.last().target.backend == "b2");
+    it.ask(as_is);
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+}
+
+// Guards against a rejection while the permit that was asked for is on its way.
+BOOST_AUTO_TEST_CASE(request_waits_for_the_reply_to_its_wish)
+{
+    one_gateway it;
+    limit(it, {"b1", "b2", "b3"});
+    it.ask(as_is);
+    BOOST_TEST(it.backends.attempts.empty());
+    it.timers.run_for(millis{10});
+    it.limits.replied({"b1", true, {}});
+    it.timers.run_for(millis{10});
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+}
+
+// Guards against requests that wait for their deadline where no backend server has room.
+BOOST_AUTO_TEST_CASE(request_without_room_is_rejected_at_once_with_the_time_to_come_back)
+{
+    one_gateway it;
+    limit(it, {"b1", "b2", "b3"});
+    for (const auto* const backend : {"b1", "b2", "b3"}) {
+        it.limits.replied({backend, false, millis{700}});
+    }
+    it.ask(as_is);
+    it.timers.run_for(millis{60});
+    BOOST_TEST(it.caller.status == 503U);
+    BOOST_REQUIRE(it.records.size() == 1U);
+    BOOST_TEST(it.records.back().limited == 3U);
+    BOOST_TEST(it.records.back().retry_after.value_or(millis{0}).count() >= 640);
+    BOOST_TEST(it.backends.attempts.empty());
+}
+
+// Guards against dropping an answer for a larger model that no backend server has room to run.
+BOOST_AUTO_TEST_CASE(answer_at_hand_is_kept_where_a_larger_model_has_no_room)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) { route.models = {"small", "large"}; });
+    limit(it, {"b1", "b2", "b3"});
+    it.named = {limit_statement::kind_type::named, 2};
+    it.answer(200, "fine", true, 0.1);
+    it.complete();
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+    BOOST_TEST(it.caller.status == 200U);
+}
+
+// Guards against probes that count as requests under the limit.
+BOOST_AUTO_TEST_CASE(limited_backend_is_not_probed)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) {
+        as_stream(route);
+        route.target_latency = millis{3000};
+    });
+    it.named = {limit_statement::kind_type::named, 2};
+    it.answer(200, event(0));
+    it.timers.run_for(millis{900});
+    BOOST_TEST(it.probes.attempts.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -111,6 +111,7 @@
     std::vector<limit_change> limit_changes;
     std::size_t unreadable_limits = 0;
     std::size_t permits_wanted = 0;
+    limit_statement named; ///< by each answer
     backend_limits limits{{},
                           [this] { return timers.now; },
                           [] { return std::size_t{4}; },
@@ -148,8 +149,9 @@
                    std::to_string(order.last_event_id ? static_cast<int>(*order.last_event_id)
                                                       : -1);
         },
-        [](const http1::response_head& head) {
+        [this](const http1::response_head& head) {
             backend_answer out;
+            out.limit = named;
             out.status = head.status;
             out.ran = head.fields.find("X-Ran") != "0";
             out.wrong_backend = head.status == 421;
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -50,6 +50,9 @@
     session_pins = 69,
     probe_failure = 70,
     crash_facts = 71,
+    backend_limit = 72,
+    permit_wishes = 73,
+    permit_replies = 74,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -451,6 +454,36 @@
     std::vector<crash_row> rows;
 };
 
+/// A backend server has named a limit, as an answer to some host says.
+struct backend_limit {
+    static constexpr auto type = message_type::backend_limit;
+    std::string id;
+    std::optional<double> per_second; ///< nothing: it names none any more
+};
+
+struct permit_wish {
+    std::string id;
+    double per_second = 0; ///< the newest limit that the sender knows
+    std::int32_t priority = 0;
+};
+
+/// Asks the host that grants them for permits to send to limited backend servers.
+struct permit_wishes {
+    static constexpr auto type = message_type::permit_wishes;
+    std::vector<permit_wish> wishes;
+};
+
+struct permit_answer {
+    std::string id;
+    bool granted = false;
+    std::uint64_t room_in_ms = 0;
+};
+
+struct permit_replies {
+    static constexpr auto type = message_type::permit_replies;
+    std::vector<permit_answer> replies;
+};
+
 /// What a host saw of versions in a roll-out since its last report; to the leader.
 struct version_report {
     static constexpr auto type = message_type::version_report;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -21,10 +21,11 @@
 } // namespace
 
 backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
-                           gateway::crash_ledger& suspects, gateway::load_balancer& balancer,
-                           bool has_disk, feed_hooks hooks)
-    : env_{env}, mesh_{mesh}, directory_{directory}, suspects_{suspects}, has_disk_{has_disk},
-      hooks_{std::move(hooks)}, relay_{has_disk}, loads_{env, mesh, balancer, has_disk, around_}
+                           gateway::crash_ledger& suspects, gateway::backend_limits& limits,
+                           gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks)
+    : env_{env}, mesh_{mesh}, directory_{directory}, suspects_{suspects}, limits_{limits},
+      has_disk_{has_disk}, hooks_{std::move(hooks)}, relay_{has_disk}, loads_{env, mesh, balancer,
+                                                                              has_disk, around_}
 {
 }
 
@@ -175,6 +176,11 @@
     }
 }
 
+void backend_feed::share(const gateway::limit_change& change)
+{
+    spread(wire::backend_limit{change.backend, change.per_second}, mesh_.self());
+}
+
 void backend_feed::take_crash_facts(const node_id& from, const wire::crash_facts& facts)
 {
     wire::crash_facts news;
@@ -202,6 +208,9 @@
     if (!facts.rows.empty()) {
         mesh_.send(to, facts);
     }
+    for (const auto& [id, per_second] : limits_.all()) {
+        mesh_.send(to, wire::backend_limit{id, per_second});
+    }
 }
 
 std::vector<node_id> backend_feed::best_attachments() const
@@ -304,6 +313,14 @@
             take_crash_facts(from, *it);
         }
         return true;
+    case wire::message_type::backend_limit:
+        if (const auto it = wire::try_decode<wire::backend_limit>(body)) {
+            if (const auto change = limits_.take(it->id, it->per_second)) {
+                hooks_.limit_changed(*change);
+                spread(*it, from);
+            }
+        }
+        return true;
     case wire::message_type::load_report:
         if (const auto it = wire::try_decode<wire::load_report>(body)) {
             loads_.take_report(from, *it);
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -3,6 +3,7 @@
 #include "gateway/load_feed.h"
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/backend_limits.h"
 #include "hickorypost/gateway/crash_ledger.h"
 #include "hickorypost/gateway/heartbeat_relay.h"
 #include "hickorypost/gateway/load_balancer.h"
@@ -22,6 +23,8 @@
     /// Whether a host with a disk is in contact with the control log's leader, as far as is known.
     std::function<bool(const node_id& host)> reaches_leader;
     std::function<void(const std::vector<std::uint64_t>& sessions)> pins;
+    /// Another host has told of a limit.
+    std::function<void(const gateway::limit_change&)> limit_changed;
 };
 
 /// Spreads what one host learns of backend servers to all others. Hosts with a disk exchange it
@@ -30,8 +33,8 @@
 class backend_feed {
 public:
     backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
-                 gateway::crash_ledger& suspects, gateway::load_balancer& balancer, bool has_disk,
-                 feed_hooks hooks);
+                 gateway::crash_ledger& suspects, gateway::backend_limits& limits,
+                 gateway::load_balancer& balancer, bool has_disk, feed_hooks hooks);
 
     void start();
     load_feed& loads() noexcept { return loads_; }
@@ -42,6 +45,8 @@
     void report_unresponsive(const std::string& backend);
     /// Tells all hosts what this one has found out about a request.
     void share(const gateway::crash_fact& fact);
+    /// Tells all hosts of a limit that an answer to this one has named.
+    void share(const gateway::limit_change& change);
     /// Tells all hosts of sessions that stay on their old version.
     void spread_pins(std::vector<std::uint64_t> sessions);
     void on_link_up(const node_id& host);
@@ -75,6 +80,7 @@
     peer_mesh& mesh_;
     gateway::backend_directory& directory_;
     gateway::crash_ledger& suspects_;
+    gateway::backend_limits& limits_;
     bool has_disk_;
     feed_hooks hooks_;
     gateway::heartbeat_relay relay_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -80,12 +80,15 @@
       limits_{{},
               env.now,
               [this] { return control_->hosts(); },
-              [this](const gateway::limit_change& it) { journal_.limit_changed(it); },
+              [this](const gateway::limit_change& it) {
+                  journal_.limit_changed(it);
+                  feed_->share(it);
+              },
               [this](const std::string& backend) {
                   env_.log->warn("backend server {} names a limit that cannot be read: ignored",
                                  backend);
               },
-              [] {}},
+              [this] { permits_->ask_soon(); }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -135,7 +138,8 @@
         feed_->on_link_down(host);
     };
     hooks.message = [this](const node_id& from, wire::message_type type, std::string_view body) {
-        if (!control_->on_message(from, type, body) && !feed_->on_message(from, type, body)) {
+        if (!control_->on_message(from, type, body) && !feed_->on_message(from, type, body) &&
+            !permits_->on_message(from, type, body)) {
             env_.log->warn("message of unknown type {} from host {}", static_cast<unsigned>(type),
                            from);
         }
@@ -162,8 +166,13 @@
     for_feed.pins = [this](const std::vector<std::uint64_t>& sessions) {
         rollouts_.pin(sessions, env_.now());
     };
-    feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, suspects_, balancer_, has_disk,
-                                           std::move(for_feed));
+    for_feed.limit_changed = [this](const gateway::limit_change& it) {
+        journal_.limit_changed(it);
+    };
+    feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, suspects_, limits_, balancer_,
+                                           has_disk, std::move(for_feed));
+    permits_ =
+        std::make_unique<limit_feed>(env_, *mesh_, limits_, [this] { return control_->leader(); });
     calls_ = std::make_unique<control_calls>(
         env_, *control_, *feed_, directory_, suspects_, [this](const std::string& service) {
             return !table_ || table_->find_service(service) != nullptr;
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -5,6 +5,7 @@
 #include "gateway/caller_server.h"
 #include "gateway/control_calls.h"
 #include "gateway/control_plane.h"
+#include "gateway/limit_feed.h"
 #include "gateway/request_journal.h"
 #include "hickorypost/gateway/exchange.h"
 
@@ -81,6 +82,7 @@
     std::unique_ptr<peer_mesh> mesh_;
     std::unique_ptr<control_plane> control_;
     std::unique_ptr<backend_feed> feed_;
+    std::unique_ptr<limit_feed> permits_;
     std::unique_ptr<control_calls> calls_;
     gateway::route_table_ptr table_;
     std::unique_ptr<caller_server> callers_server_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -99,6 +99,12 @@
         .add("first_ms", to_millis(record.to_first))
         .add("gap_ms", to_millis(record.longest_gap))
         .add("total_ms", to_millis(record.total));
+    if (record.limited > 0) {
+        line.add("limited", record.limited);
+    }
+    if (record.retry_after) {
+        line.add("retry_after_ms", record.retry_after->count());
+    }
     if (record.identity) {
         line.add("identity", gateway::to_text(*record.identity));
     }
