--- a/modules/gateway/include/hickorypost/gateway/backend_limits.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -102,7 +102,7 @@
     void replied(const permit_reply& reply);
     /// When there is likely to be room on one of these, as far as is known.
     [[nodiscard]] millis room_in(std::span<const std::string> backends) const;
-    /// Wishes to be told now, most urgent first.
+    /// Wishes to be told now: the most urgent first, then those that were not told for longest.
     std::vector<permit_request> take_wishes();
     /// All limits, for a host that has just begun to listen.
     [[nodiscard]] std::map<std::string, double> all() const;
--- a/modules/gateway/src/backend_limits.cpp
+++ b/modules/gateway/src/backend_limits.cpp
@@ -202,24 +202,25 @@
 std::vector<permit_request> backend_limits::take_wishes()
 {
     const instant now = now_();
-    std::vector<permit_request> out;
-    for (const auto& [backend, it] : entries_) {
+    std::vector<std::pair<const std::string*, entry*>> due;
+    for (auto& [backend, it] : entries_) {
         if (it.wish && now >= it.asked + settings_.ask_again) {
-            out.push_back({backend, it.per_second, *it.wish});
+            due.emplace_back(&backend, &it);
         }
     }
-    std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
-        return std::pair{a.priority, -a.per_second} < std::pair{b.priority, -b.per_second};
+    // Among equals in turn, so that each limit is used.
+    std::stable_sort(due.begin(), due.end(), [](const auto& a, const auto& b) {
+        return std::pair{*a.second->wish, a.second->asked} <
+               std::pair{*b.second->wish, b.second->asked};
     });
-    if (out.size() > settings_.max_wishes) {
-        out.resize(settings_.max_wishes);
-    }
-    for (const auto& it : out) {
-        entry& known = entries_.find(it.backend)->second;
-        known.asked = now;
-        known.wish.reset();
-        if (!known.unanswered_since) {
-            known.unanswered_since = now;
+    due.resize(std::min(due.size(), settings_.max_wishes));
+    std::vector<permit_request> out;
+    for (const auto& [backend, it] : due) {
+        out.push_back({*backend, it->per_second, *it->wish});
+        it->asked = now;
+        it->wish.reset();
+        if (!it->unanswered_since) {
+            it->unanswered_since = now;
         }
     }
     return out;
--- a/modules/gateway/tests/backend_limits_test.cpp
+++ b/modules/gateway/tests/backend_limits_test.cpp
@@ -77,4 +77,27 @@
     BOOST_TEST(it.limits.empty());
 }
 
+// Guards against limits that nobody uses, where more are wanted than a message has room for.
+BOOST_AUTO_TEST_CASE(permits_are_wanted_for_all_limited_backends_in_turn)
+{
+    one_host it;
+    std::map<std::string, int> asked;
+    for (int turn = 0; turn < 200; ++turn) {
+        for (int n = 0; n < 150; ++n) {
+            const std::string backend = "i-" + std::to_string(n);
+            it.limits.take(backend, 2.5);
+            it.limits.want(backend, 1);
+        }
+        for (const auto& wish : it.limits.take_wishes()) {
+            ++asked[wish.backend];
+            it.limits.replied({wish.backend, false, {}});
+        }
+        it.now += millis{20};
+    }
+    BOOST_TEST(asked.size() == 150U);
+    for (const auto& [backend, n] : asked) {
+        BOOST_TEST(n >= 5);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
