--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -177,7 +177,10 @@
                 std::any_of(backends.begin(), backends.end(), [&](const auto& backend) {
                     return it.message.starts_with("backend server " + backend + " ");
                 });
-            if (on_backend && it.line.corrected_ms >= from && it.line.corrected_ms <= to) {
+            const bool on_limit =
+                it.line.event.starts_with("backend_limit") && backends.contains(it.backend);
+            if ((on_backend || on_limit) && it.line.corrected_ms >= from &&
+                it.line.corrected_ms <= to) {
                 out.push_back(it.line);
             }
         }
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -71,4 +71,16 @@
     BOOST_TEST(found.lines[1].text.find("backend=i-2") != std::string::npos);
 }
 
+// Guards against a request whose backend server was limited, which its history does not show.
+BOOST_AUTO_TEST_CASE(history_shows_limits_of_the_backends_of_a_request)
+{
+    const std::string log =
+        line("a", "10.000", R"("event":"backend_limited","backend":"i-1","per_second":2.4)") +
+        line("a", "10.000", R"("event":"backend_limited","backend":"i-2","per_second":2.4)") +
+        line("a", "11.000", R"("event":"request_ended","request":"q","backend":"i-1")");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 2U);
+    BOOST_TEST(found.lines[0].text.find("per_second=2.4") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
