--- a/modules/gateway/tests/exchange_crashes_test.cpp
+++ b/modules/gateway/tests/exchange_crashes_test.cpp
@@ -112,4 +112,18 @@
     BOOST_TEST(it.backends.attempts.size() == 3U);
 }
 
+// Guards against blame for attempts that this side has ended.
+BOOST_AUTO_TEST_CASE(deadline_and_departure_of_the_caller_are_no_crash)
+{
+    one_gateway it;
+    crash_all(it);
+    it.ask(as_unsafe, millis{100});
+    it.timers.run_for(millis{200});
+    BOOST_TEST(it.caller.status == 504U);
+    it.ask(as_unsafe).caller_left();
+    it.timers.run_for(millis{200});
+    BOOST_TEST(it.backends.attempts.size() == 2U);
+    BOOST_TEST(it.suspects.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/permit_coordinator_test.cpp
+++ b/modules/gateway/tests/permit_coordinator_test.cpp
@@ -140,7 +140,7 @@
 {
     limited_site it{8, 2.4};
     it.run(millis{10'000}, 2000);
-    constexpr std::size_t hosts_times_quarters = 8 * 40;
+    constexpr std::size_t hosts_times_quarters = std::size_t{8} * 40;
     BOOST_TEST(it.messages <= hosts_times_quarters + it.sent.size() + 8U);
 }
 
