--- a/modules/gateway/include/hickorypost/gateway/backend_limits.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -52,8 +52,8 @@
     millis ask_again{250};
     /// A less urgent request gets no permit for this long after a more urgent one had no room.
     millis urgent_hold{1000};
-    /// A limit that no answer has named for this long is forgotten.
-    millis lifetime{30'000};
+    /// A limit that no answer to any host has named for this long is forgotten.
+    millis lifetime{60'000};
     /// Time without a reply after which this host sends without permits, at
     /// `uncoordinated_share` of an equal share of the limit.
     millis reply_timeout{1500};
@@ -61,6 +61,9 @@
     /// Relative change of a limit that is broadcast, and the minimum interval of broadcasts.
     double min_announced_change = 0.1;
     millis min_announce_interval{1000};
+    /// A limit that has not changed is broadcast this often: a host may get no answer of that
+    /// backend server for long, as others use the permits.
+    millis refresh_interval{10'000};
     /// Permits asked for in one turn.
     std::size_t max_requests_per_message = 8;
 };
@@ -72,7 +75,7 @@
 /// from it sends less than its equal share.
 class backend_limits {
 public:
-    /// Called for what an answer to this host says, at a bounded rate.
+    /// Called for what an answer to this host says and other hosts must know, at a bounded rate.
     using changed_fn = std::function<void(const limit_change&)>;
     /// Called for a limit that cannot be understood and is ignored, at a bounded rate.
     using unreadable_fn = std::function<void(const std::string& backend)>;
@@ -84,8 +87,13 @@
 
     /// An answer of that backend server to this host.
     void saw(const std::string& backend, const limit_statement& statement);
-    /// Another host tells of a limit; nothing: it has ended. Returns the change if it is one.
-    std::optional<limit_change> take(const std::string& backend, std::optional<double> limit);
+    /// What another host has announced.
+    struct announcement {
+        bool is_news = false; ///< to be passed on
+        std::optional<limit_change> change;
+    };
+    /// Another host has announced a limit, or that it has ended (nothing).
+    announcement take(const std::string& backend, std::optional<double> limit);
     void forget(std::string_view backend);
     void expire();
 
--- a/modules/gateway/src/backend_limits.cpp
+++ b/modules/gateway/src/backend_limits.cpp
@@ -50,28 +50,34 @@
     const bool differs = !it.announced || std::abs(*it.announced - it.per_second) >
                                               settings_.min_announced_change *
                                                   std::max(*it.announced, it.per_second);
-    if (!it.announced || (differs && now >= it.announced_at + settings_.min_announce_interval)) {
+    const millis interval = differs ? settings_.min_announce_interval : settings_.refresh_interval;
+    if (!it.announced || now >= it.announced_at + interval) {
         it.announced = it.per_second;
         it.announced_at = now;
         changed_({backend, it.per_second, it.sent});
     }
 }
 
-std::optional<limit_change> backend_limits::take(const std::string& backend,
-                                                 std::optional<double> limit)
+backend_limits::announcement backend_limits::take(const std::string& backend,
+                                                  std::optional<double> limit)
 {
     const auto found = entries_.find(backend);
-    const std::uint64_t sent = found == entries_.end() ? 0 : found->second.sent;
-    const auto known = limit_of(backend);
+    const bool known = found != entries_.end();
+    const std::uint64_t sent = known ? found->second.sent : 0;
+    const bool changed = limit_of(backend) != limit;
+    // Well below the interval of refreshes, and above the time in which copies of one arrive.
+    const bool is_refresh =
+        known && limit && now_() >= found->second.announced_at + settings_.refresh_interval / 2;
     if (limit) {
         begin(backend, *limit);
         entry& it = entries_.at(backend);
         it.announced = limit;
         it.announced_at = now_();
-    } else if (found != entries_.end()) {
+    } else if (known) {
         entries_.erase(found);
     }
-    return known == limit ? std::nullopt : std::optional{limit_change{backend, limit, sent}};
+    return {changed || is_refresh,
+            changed ? std::optional{limit_change{backend, limit, sent}} : std::nullopt};
 }
 
 void backend_limits::forget(std::string_view backend)
@@ -185,7 +191,7 @@
     for (const auto& backend : backends) {
         const auto found = entries_.find(backend);
         if (found == entries_.end()) {
-            continue;
+            return millis{0}; // its limit has ended meanwhile
         }
         const entry& it = found->second;
         // Without a reply: as if all hosts took turns.
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -315,8 +315,11 @@
         return true;
     case wire::message_type::backend_limit:
         if (const auto it = wire::try_decode<wire::backend_limit>(body)) {
-            if (const auto change = limits_.take(it->id, it->per_second)) {
-                hooks_.limit_changed(*change);
+            const auto taken = limits_.take(it->id, it->per_second);
+            if (taken.change) {
+                hooks_.limit_changed(*taken.change);
+            }
+            if (taken.is_news) {
                 spread(*it, from);
             }
         }
