--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -174,7 +174,8 @@
     /// The best candidate with room under its limit; takes those without room out.
     const backend_entry* choose(std::vector<const backend_entry*>& candidates, const job_size& job);
     void request_permits();
-    bool room_for_another();
+    /// Whether a backend server other than `except` has room under its limit.
+    bool room_for_another(std::string_view except);
     bool wait_for_permit();
     void refuse_for_limits();
     void end_attempt(attempt_result how);
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -210,7 +210,7 @@
         return;
     }
     if (to == nullptr) {
-        abort(candidates.empty() ? "no backend server is known" : "all backend servers tried");
+        abort(record_.candidates == 0 ? "no backend server is known" : "all backend servers tried");
         return;
     }
     if (suspicion == crash_ledger::standing::trial) {
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -98,7 +98,7 @@
     const auto spent = std::chrono::duration_cast<millis>(services_.now() - began_);
     const auto rank = services_.models.after(
         {route_, model_rank_, *answer.confidence, spent, time_left(), attempts_left, reading});
-    if (rank == model_rank_ || !room_for_another() || !repeat_allowed()) {
+    if (rank == model_rank_ || !room_for_another({}) || !repeat_allowed()) {
         return false;
     }
     model_rank_ = rank;
--- a/modules/gateway/src/exchange_limits.cpp
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -45,7 +45,7 @@
     }
 }
 
-bool exchange::room_for_another()
+bool exchange::room_for_another(std::string_view except)
 {
     auto& limits = services_.limits;
     if (limits.empty()) {
@@ -53,7 +53,8 @@
     }
     limited_.clear();
     for (const auto* const it : services_.directory.usable(record_.service, services_.now())) {
-        if (std::find(tried_.begin(), tried_.end(), it->record.id) != tried_.end()) {
+        const bool tried = std::find(tried_.begin(), tried_.end(), it->record.id) != tried_.end();
+        if (tried || it->record.id == except) {
             continue;
         }
         if (limits.has_room(it->record.id, priority())) {
--- a/modules/gateway/src/exchange_silence.cpp
+++ b/modules/gateway/src/exchange_silence.cpp
@@ -75,7 +75,7 @@
     }
     count_send();
     may_have_run_ = true;
-    if (!repeat_allowed()) {
+    if (!room_for_another(record_.backend) || !repeat_allowed()) {
         return; // keeps waiting for this attempt
     }
     end_attempt(attempt_result::unreachable);
--- a/modules/gateway/tests/exchange_limits_test.cpp
+++ b/modules/gateway/tests/exchange_limits_test.cpp
@@ -85,6 +85,25 @@
     BOOST_TEST(it.caller.status == 200U);
 }
 
+// Guards against giving up a silent attempt where no other backend server has room.
+BOOST_AUTO_TEST_CASE(silent_attempt_is_kept_where_no_other_backend_has_room)
+{
+    one_gateway it;
+    it.ask(as_is);
+    const std::string at = it.backends.last().target.backend;
+    for (const auto* const backend : {"b1", "b2", "b3"}) {
+        if (backend != at) {
+            limit(it, {backend});
+        }
+    }
+    it.timers.run_for(millis{2000});
+    BOOST_REQUIRE(it.backends.attempts.size() == 1U);
+    BOOST_REQUIRE(!it.backends.last().cancelled);
+    it.answer(200, "late");
+    it.complete();
+    BOOST_TEST(it.caller.status == 200U);
+}
+
 // Guards against probes that count as requests under the limit.
 BOOST_AUTO_TEST_CASE(limited_backend_is_not_probed)
 {
