--- a/modules/gateway/include/hickorypost/gateway/backend_limits.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -50,8 +50,10 @@
     millis permit_lifetime{500};
     /// A permit request without a grant is repeated after this long.
     millis ask_again{250};
-    /// A less urgent request gets no permit for this long after a more urgent one had no room.
+    /// For this long after a request had no room, fresh permits are reserved for requests that are
+    /// as urgent, each for `urgent_reserve`.
     millis urgent_hold{1000};
+    millis urgent_reserve{200};
     /// A limit that no answer to any host has named for this long is forgotten.
     millis lifetime{60'000};
     /// Time without a reply after which this host sends without permits, at
@@ -121,7 +123,7 @@
         instant named;                   ///< by an answer to any host
         std::optional<double> announced; ///< to other hosts
         instant announced_at;
-        std::vector<instant> permits; ///< when each is lost
+        std::vector<instant> permits; ///< when each was granted, oldest first
         std::optional<int> wanted;    ///< priority of a caller's request without a permit
         instant asked;
         std::optional<instant> unanswered_since; ///< the first permit request without a reply
--- a/modules/gateway/src/backend_limits.cpp
+++ b/modules/gateway/src/backend_limits.cpp
@@ -114,12 +114,13 @@
         return true;
     }
     const instant now = now_();
-    if (priority > short_priority_ && now < short_until_) {
-        return false;
-    }
+    const bool yields = priority > short_priority_ && now < short_until_;
+    const millis reserved = yields ? settings_.urgent_reserve : millis{0};
     const auto& permits = found->second.permits;
-    return std::any_of(permits.begin(), permits.end(), [now](instant end) { return now < end; }) ||
-           uncoordinated(found->second);
+    const bool permitted = std::any_of(permits.begin(), permits.end(), [&](instant granted) {
+        return now >= granted + reserved && now < granted + settings_.permit_lifetime;
+    });
+    return permitted || uncoordinated(found->second);
 }
 
 void backend_limits::sent(std::string_view backend)
@@ -132,7 +133,8 @@
     const instant now = now_();
     it.wanted.reset();
     ++it.sent;
-    std::erase_if(it.permits, [now](instant end) { return now >= end; });
+    std::erase_if(it.permits,
+                  [&](instant granted) { return now >= granted + settings_.permit_lifetime; });
     if (!it.permits.empty()) {
         it.permits.erase(it.permits.begin());
         return;
@@ -177,7 +179,7 @@
     const instant now = now_();
     it.unanswered_since.reset();
     if (reply.granted) {
-        it.permits.push_back(now + settings_.permit_lifetime);
+        it.permits.push_back(now);
         it.asked = {};
     } else {
         it.room_at = now + reply.room_in;
--- a/modules/gateway/tests/permit_coordinator_test.cpp
+++ b/modules/gateway/tests/permit_coordinator_test.cpp
@@ -177,6 +177,22 @@
     BOOST_TEST(urgent > 5 * other);
 }
 
+// Guards against permits that expire unused, reserved for urgent requests that seldom come.
+BOOST_AUTO_TEST_CASE(few_urgent_requests_do_not_keep_others_from_unused_permits)
+{
+    limited_site it{8, 12};
+    std::mt19937 random{5};
+    std::uniform_int_distribution<std::size_t> host{0, 7};
+    for (int n = 0; n < 4000; ++n) {
+        it.step();
+        if (n % 40 == 0) {
+            it.request(host(random), 0);
+        }
+        it.request(host(random), 2);
+    }
+    BOOST_TEST(static_cast<double>(it.sent.size()) >= 0.7 * 12 * 20);
+}
+
 // Guards against a permit for a host that has stopped asking.
 BOOST_AUTO_TEST_CASE(permit_request_that_is_not_repeated_is_dropped)
 {
