--- a/bench/sharing_bench.cpp
+++ b/bench/sharing_bench.cpp
@@ -1,5 +1,5 @@
 /// What hosts tell each other about crashing requests and limits: bytes, and the price of the
-/// checks on a request's path, beside the choice of a backend server in the same run.
+/// checks on the request path, with the choice of a backend server measured in the same run.
 
 #include "hickorypost/gateway/crash_ledger.h"
 #include "hickorypost/gateway/load_balancer.h"
@@ -37,7 +37,7 @@
     crash_ledger empty{{}, [] { return start; }, [](const crash_fact&) {}};
     crash_ledger known{{}, [] { return start; }, [](const crash_fact&) {}};
     for (std::uint64_t n = 0; n < 100; ++n) {
-        known.crashed({n, n}, "i-" + std::to_string(n % 5), start - millis{100});
+        known.crashed({n, n}, "i-" + std::to_string(n % 5), 0);
     }
     std::size_t found = 0;
     const double idle = nanos_each([&](std::size_t) { found += empty.empty() ? 0 : 1; });
@@ -80,7 +80,7 @@
     wire::crash_facts facts;
     wire::crash_facts clears;
     for (std::uint64_t n = 0; n < in_flight; ++n) {
-        facts.rows.push_back({0, ~n, n << 40U, "i-62e4cac799", 1500, 6});
+        facts.rows.push_back({0, ~n, n << 40U, "i-62e4cac799", 2, 6});
         clears.rows.push_back({1, ~n, n << 40U, {}, 0, 6});
     }
     const std::size_t bytes = wire::encode(facts).size() + wire::encode(clears).size();
--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -23,8 +23,8 @@
     };
     kind_type kind = kind_type::crashed;
     request_identity identity;
-    std::string backend; ///< incarnation; of `crashed`
-    instant began;       ///< when the attempt was sent; of `crashed`
+    std::string backend;              ///< incarnation; of `crashed`
+    std::uint32_t crashes_before = 0; ///< known to its host when the attempt was sent; of `crashed`
     instant at;
 };
 
@@ -38,21 +38,19 @@
     millis retention{1'800'000};
     /// How long a fact may be late.
     millis clear_retention{60'000};
-    /// Difference between what two hosts take for the time of a fact.
-    millis clock_tolerance{50};
     /// Facts that are kept; those about the fewest crashes yield first.
     std::size_t max_facts = 4096;
     /// Heartbeats after which a backend server that was taken for crashed is alive. One may have
-    /// been late on its way.
+    /// been delayed in transit.
     std::uint32_t beats_to_refute = 2;
 };
 
 /// Which requests crash the backend servers that run them. Performs no I/O itself.
 ///
 /// All requests in flight on a crashed backend server are suspects. A crash counts against those
-/// that were in the most crashes, and only if their attempt was sent after the crash before: many
-/// callers send equal requests, which lose several backend servers at the same moment. A success
-/// clears.
+/// that were in the most crashes, and only if their attempt was sent when the crash before was
+/// known: many callers send equal requests, which lose several backend servers at the same moment.
+/// The order is causal, as facts reach hosts with different delays. A success clears.
 class crash_ledger {
 public:
     using share_fn = std::function<void(const crash_fact&)>;
@@ -60,7 +58,9 @@
     /// `share`: called for each fact that this host has found itself.
     crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share);
 
-    void crashed(const request_identity& identity, std::string_view backend, instant began);
+    /// `crashes_before`: what `crashes` returned when the attempt was sent.
+    void crashed(const request_identity& identity, std::string_view backend,
+                 std::uint32_t crashes_before);
     /// Returns false if nothing is known of it.
     bool clear(const request_identity& identity);
     void tried(const request_identity& identity);
@@ -96,7 +96,7 @@
 private:
     struct mark {
         std::string backend;
-        instant began;
+        std::uint32_t crashes_before = 0;
         instant ended;
     };
     struct record {
--- a/modules/gateway/include/hickorypost/gateway/crash_watch.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_watch.h
@@ -18,7 +18,7 @@
     std::string service;
     std::string request; ///< id of the caller's attempt
     request_identity identity;
-    instant began; ///< when the attempt was sent
+    std::uint32_t crashes_before = 0; ///< of the identity, known when the attempt was sent
 };
 
 /// A connection attempt. Destroying it cancels it.
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -221,8 +221,9 @@
     std::uint64_t deadline_timer_ = 0;
     std::uint64_t silence_timer_ = 0;
     std::uint64_t probe_timer_ = 0;
-    std::uint64_t probe_ = 0;       ///< of the current attempt's backend server, in `liveness`
-    std::uint64_t crash_check_ = 0; ///< of the last attempt's backend server, in `crashes`
+    std::uint64_t probe_ = 0;          ///< of the current attempt's backend server, in `liveness`
+    std::uint32_t crashes_before_ = 0; ///< of this request, known when the attempt was sent
+    std::uint64_t crash_check_ = 0;    ///< of the last attempt's backend server, in `crashes`
 
     std::unique_ptr<attempt> current_;
     attempt_target target_; ///< of the current attempt
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -64,7 +64,7 @@
     /// The excess of a plain backend server's mean service time over the fastest one's halves in
     /// each such time without a request, so that an idle one is measured again.
     millis service_half_life{1000};
-    /// Cost, for a suspect, of each request that runs beside it.
+    /// Cost, for a suspect, of each request that runs concurrently.
     double suspect_beside_ms = 50;
     /// Extra cost of a backend server in another failure domain: two link delays and dearer bytes.
     double other_domain_ms = 4;
--- a/modules/gateway/src/crash_ledger.cpp
+++ b/modules/gateway/src/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "hickorypost/gateway/crash_ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hickorypost::gateway {
@@ -11,10 +12,10 @@
 }
 
 void crash_ledger::crashed(const request_identity& identity, std::string_view backend,
-                           instant began)
+                           std::uint32_t crashes_before)
 {
-    const crash_fact fact{crash_fact::kind_type::crashed, identity, std::string{backend}, began,
-                          now_()};
+    const crash_fact fact{crash_fact::kind_type::crashed, identity, std::string{backend},
+                          crashes_before, now_()};
     if (take(fact)) {
         share_(fact);
     }
@@ -22,7 +23,7 @@
 
 bool crash_ledger::clear(const request_identity& identity)
 {
-    const crash_fact fact{crash_fact::kind_type::cleared, identity, {}, {}, now_()};
+    const crash_fact fact{crash_fact::kind_type::cleared, identity, {}, 0, now_()};
     const auto found = records_.find(identity);
     const bool known = found != records_.end() && !found->second.marks.empty();
     if (known && take(fact)) {
@@ -33,7 +34,7 @@
 
 void crash_ledger::tried(const request_identity& identity)
 {
-    const crash_fact fact{crash_fact::kind_type::tried, identity, {}, {}, now_()};
+    const crash_fact fact{crash_fact::kind_type::tried, identity, {}, 0, now_()};
     if (take(fact)) {
         share_(fact);
     }
@@ -115,11 +116,11 @@
                               [&](const mark& m) { return m.backend == fact.backend; });
     const bool news = known == it.marks.end();
     if (news) {
-        it.marks.push_back({fact.backend, fact.began, fact.at});
+        it.marks.push_back({fact.backend, fact.crashes_before, fact.at});
         victims_[fact.backend].identities.push_back(fact.identity);
         ++facts_;
     } else {
-        known->began = std::min(known->began, fact.began);
+        known->crashes_before = std::min(known->crashes_before, fact.crashes_before);
         known->ended = std::min(known->ended, fact.at);
     }
     std::sort(it.marks.begin(), it.marks.end(),
@@ -176,24 +177,23 @@
 
 bool crash_ledger::explained(const record& it, const mark& crash) const
 {
-    const auto& beside = victims_.find(crash.backend)->second.identities;
-    return std::any_of(beside.begin(), beside.end(), [&](const request_identity& other) {
+    const auto& in_flight = victims_.find(crash.backend)->second.identities;
+    return std::any_of(in_flight.begin(), in_flight.end(), [&](const request_identity& other) {
         return records_.at(other).marks.size() > it.marks.size();
     });
 }
 
 std::uint32_t crash_ledger::count(const record& it) const
 {
-    std::uint32_t out = 0;
-    instant last;
+    std::vector<std::uint32_t> levels;
     for (const auto& crash : it.marks) {
-        const bool later = out == 0 || crash.began + settings_.clock_tolerance >= last;
-        if (later && !explained(it, crash)) {
-            ++out;
-            last = crash.ended;
+        if (!explained(it, crash)) {
+            levels.push_back(crash.crashes_before);
         }
     }
-    return out;
+    std::sort(levels.begin(), levels.end());
+    return static_cast<std::uint32_t>(
+        std::distance(levels.begin(), std::unique(levels.begin(), levels.end())));
 }
 
 std::uint32_t crash_ledger::crashes(const request_identity& identity) const
@@ -229,14 +229,14 @@
     std::vector<crash_fact> out;
     for (const auto& [identity, it] : records_) {
         for (const auto& crash : it.marks) {
-            out.push_back({crash_fact::kind_type::crashed, identity, crash.backend, crash.began,
-                           crash.ended});
+            out.push_back({crash_fact::kind_type::crashed, identity, crash.backend,
+                           crash.crashes_before, crash.ended});
         }
         if (it.cleared != instant{}) {
-            out.push_back({crash_fact::kind_type::cleared, identity, {}, {}, it.cleared});
+            out.push_back({crash_fact::kind_type::cleared, identity, {}, 0, it.cleared});
         }
         if (it.tried != instant{}) {
-            out.push_back({crash_fact::kind_type::tried, identity, {}, {}, it.tried});
+            out.push_back({crash_fact::kind_type::tried, identity, {}, 0, it.tried});
         }
     }
     return out;
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -261,6 +261,8 @@
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::waiting;
     events_.restart();
     permit_wait_end_ = {};
+    crashes_before_ =
+        standing() == crash_ledger::standing::unknown ? 0 : services_.suspects.crashes(identity());
     services_.limits.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     target_ = {to.record.id, to.record.address, record_.service,
--- a/modules/gateway/src/exchange_crashes.cpp
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -47,7 +47,7 @@
         };
     }
     crash_check_ = services_.crashes.attempt_broke(
-        target_, {record_.backend, record_.service, record_.id, identity(), attempt_began_},
+        target_, {record_.backend, record_.service, record_.id, identity(), crashes_before_},
         std::move(proceed));
     if (!waits) {
         crash_check_ = 0;
--- a/modules/gateway/tests/backend_limits_test.cpp
+++ b/modules/gateway/tests/backend_limits_test.cpp
@@ -25,7 +25,7 @@
 
 BOOST_AUTO_TEST_SUITE(backend_limits_suite)
 
-// Guards against a limit that nobody hears of, and against one that outlasts its end.
+// Guards against a limit of which nobody is notified, and against one that outlasts its end.
 BOOST_AUTO_TEST_CASE(limit_begins_changes_and_ends_with_the_answers)
 {
     one_host it;
--- a/modules/gateway/tests/crash_blame_test.cpp
+++ b/modules/gateway/tests/crash_blame_test.cpp
@@ -62,6 +62,7 @@
         std::size_t engine = 0;
         int attempt = 1;
         instant began;
+        std::uint32_t crashes_before = 0;
         instant ends; ///< with success, or with the engine's crash
     };
     static constexpr request_identity crashing{1, 1};
@@ -107,6 +108,7 @@
         }
         const double takes = identity == crashing ? 120 : 200 + 2800 * unit();
         runs_.push_back({identity, up[random_() % up.size()], attempt, now_,
+                         ledger_.crashes(identity),
                          now_ + micros{static_cast<std::int64_t>(takes * 1000)}});
     }
 
@@ -148,7 +150,7 @@
         const std::string backend = "i-" + std::to_string(engine) + "-" + std::to_string(++starts_);
         up_from_[engine] = now_ + settings_.back_after;
         for (const auto& it : lost) {
-            ledger_.crashed(it.identity, backend, it.began);
+            ledger_.crashed(it.identity, backend, it.crashes_before);
         }
         constexpr int max_attempts = 3;
         for (const auto& it : lost) {
@@ -177,7 +179,7 @@
 BOOST_AUTO_TEST_SUITE(crash_blame)
 
 // Guards against a crashing request that comes several times a second and is never stopped, and
-// against refusing the requests beside it.
+// against refusing the requests that run concurrently.
 BOOST_AUTO_TEST_CASE(crashing_request_is_stopped_and_good_ones_are_served)
 {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
--- a/modules/gateway/tests/crash_ledger_test.cpp
+++ b/modules/gateway/tests/crash_ledger_test.cpp
@@ -28,12 +28,12 @@
     {
         return [this](const crash_fact& it) { shared.push_back(it); };
     }
-    /// A backend server ends while these are in flight, each sent 100 ms before.
+    /// A backend server ends while these are in flight, each sent after the crash before.
     void crash(const std::string& backend, const std::vector<request_identity>& in_flight)
     {
         now += millis{200};
         for (const auto& it : in_flight) {
-            ledger.crashed(it, backend, now - millis{100});
+            ledger.crashed(it, backend, ledger.crashes(it));
         }
     }
 
@@ -63,7 +63,7 @@
     BOOST_TEST((it.ledger.standing_of(crasher) == standing::refused));
 }
 
-// Guards against refusing requests that were in flight beside the one that crashes.
+// Guards against refusing requests that were in flight with the one that crashes.
 BOOST_AUTO_TEST_CASE(requests_beside_a_crashing_one_are_not_refused)
 {
     one_ledger it;
@@ -93,7 +93,7 @@
 {
     one_ledger it;
     for (const auto* const backend : {"i-1", "i-2", "i-3", "i-4"}) {
-        it.ledger.crashed(good, backend, it.now - millis{800});
+        it.ledger.crashed(good, backend, 0);
         it.now += millis{5};
     }
     BOOST_TEST(it.ledger.crashes(good) == 1U);
@@ -160,6 +160,25 @@
     }
 }
 
+// Guards against a host that counts fewer crashes than others, as facts reach it late.
+BOOST_AUTO_TEST_CASE(crashes_count_the_same_however_late_their_facts_arrive)
+{
+    one_ledger here;
+    for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
+        here.crash(backend, {crasher});
+    }
+    one_ledger there;
+    there.now = here.now;
+    millis delay{900};
+    for (auto fact : here.shared) {
+        fact.at += delay;
+        delay -= millis{400};
+        there.ledger.take(fact);
+    }
+    BOOST_TEST((here.ledger.standing_of(crasher) == standing::refused));
+    BOOST_TEST((there.ledger.standing_of(crasher) == standing::refused));
+}
+
 // Guards against a caller that fills the memory with requests that all differ.
 BOOST_AUTO_TEST_CASE(facts_are_bounded_and_the_most_suspect_stay)
 {
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -106,7 +106,7 @@
                         [](const attempt_target&) { return false; },
                         [this](const crashed_attempt& it) {
                             crashed.push_back(it);
-                            suspects.crashed(it.identity, it.backend, it.began);
+                            suspects.crashed(it.identity, it.backend, it.crashes_before);
                         }};
     std::vector<limit_change> limit_changes;
     std::size_t unreadable_limits = 0;
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -444,7 +444,7 @@
     std::uint64_t outline = 0;
     std::uint64_t digest = 0;
     std::string backend;
-    std::uint64_t began_age_ms = 0;
+    std::uint32_t crashes_before = 0;
     std::uint64_t age_ms = 0;
 };
 
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -145,12 +145,11 @@
 {
     const instant now = env_.now();
     const auto age = [now](instant at) { return static_cast<std::uint64_t>(to_millis(now - at)); };
-    const bool crashed = fact.kind == gateway::crash_fact::kind_type::crashed;
     return {static_cast<std::uint8_t>(fact.kind),
             fact.identity.outline,
             fact.identity.digest,
             fact.backend,
-            crashed ? age(fact.began) : 0,
+            fact.crashes_before,
             age(fact.at)};
 }
 
@@ -163,7 +162,7 @@
     return {static_cast<gateway::crash_fact::kind_type>(row.kind),
             {row.outline, row.digest},
             row.backend,
-            at(row.began_age_ms),
+            row.crashes_before,
             at(row.age_ms)};
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -74,7 +74,7 @@
                },
                [this](const gateway::attempt_target& it) { return end_expected(it); },
                [this](const gateway::crashed_attempt& it) {
-                   suspects_.crashed(it.identity, it.backend, it.began);
+                   suspects_.crashed(it.identity, it.backend, it.crashes_before);
                    journal_.crashed(it, suspects_.crashes(it.identity));
                }},
       limits_{{},
