[gateway] A log line says when a crash is refuted by heartbeats

`crash_refuted` names the backend server and how many requests were in flight there; `request_crashed` also has `crashes_before` and `known_crashes`. No decision changes.

--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -54,9 +54,12 @@
 class crash_ledger {
 public:
     using share_fn = std::function<void(const crash_fact&)>;
+    /// A backend server that was taken for crashed is alive; `requests` were in flight there.
+    using refuted_fn = std::function<void(std::string_view backend, std::size_t requests)>;
 
     /// `share`: called for each fact that this host has found itself.
-    crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share);
+    crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share,
+                 refuted_fn refuted = {});
 
     /// `crashes_before`: what `crashes` returned when the attempt was sent.
     void crashed(const request_identity& identity, std::string_view backend,
@@ -75,6 +78,8 @@
     [[nodiscard]] standing standing_of(const request_identity& identity) const;
     /// Crashes that count against it.
     [[nodiscard]] std::uint32_t crashes(const request_identity& identity) const;
+    /// Crashes that it was in flight in, whether they count against it or not.
+    [[nodiscard]] std::size_t known_crashes(const request_identity& identity) const;
     /// False for nearly all requests, without reading their bodies.
     [[nodiscard]] bool may_know(std::uint64_t outline) const
     {
@@ -123,6 +128,7 @@
     crash_ledger_settings settings_;
     clock_fn now_;
     share_fn share_;
+    refuted_fn refuted_;
     record_map records_;
     std::unordered_map<std::uint64_t, std::uint32_t> outlines_; ///< how many records have it
     std::map<std::string, victim_list, std::less<>> victims_;   ///< by incarnation
--- a/modules/gateway/src/crash_ledger.cpp
+++ b/modules/gateway/src/crash_ledger.cpp
@@ -6,8 +6,10 @@
 
 namespace hickorypost::gateway {
 
-crash_ledger::crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share)
-    : settings_{settings}, now_{std::move(now)}, share_{std::move(share)}
+crash_ledger::crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share,
+                           refuted_fn refuted)
+    : settings_{settings}, now_{std::move(now)}, share_{std::move(share)},
+      refuted_{std::move(refuted)}
 {
 }
 
@@ -157,6 +159,9 @@
         auto& marks = records_.at(identity).marks;
         facts_ -= std::erase_if(marks, [&](const mark& m) { return m.backend == backend; });
     }
+    if (refuted_) {
+        refuted_(backend, identities.size());
+    }
 }
 
 void crash_ledger::expire()
@@ -202,6 +207,12 @@
     return found == records_.end() ? 0 : count(found->second);
 }
 
+std::size_t crash_ledger::known_crashes(const request_identity& identity) const
+{
+    const auto found = records_.find(identity);
+    return found == records_.end() ? 0 : found->second.marks.size();
+}
+
 instant crash_ledger::trial_due(const record& it, std::uint32_t crashes) const
 {
     constexpr std::uint32_t max_doublings = 10;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -64,7 +64,12 @@
                 env.now,
                 platform::encode_liveness_probe,
                 [this](const std::string& backend) { feed_->report_unresponsive(backend); }},
-      suspects_{{}, env.now, [this](const gateway::crash_fact& it) { feed_->share(it); }},
+      suspects_{{},
+                env.now,
+                [this](const gateway::crash_fact& it) { feed_->share(it); },
+                [this](std::string_view backend, std::size_t requests) {
+                    journal_.crash_refuted(backend, requests);
+                }},
       crashes_{{},
                timers_,
                env.now,
@@ -75,7 +80,8 @@
                [this](const gateway::attempt_target& it) { return end_expected(it); },
                [this](const gateway::crashed_attempt& it) {
                    suspects_.crashed(it.identity, it.backend, it.crashes_before);
-                   journal_.crashed(it, suspects_.crashes(it.identity));
+                   journal_.crashed(it, suspects_.crashes(it.identity),
+                                    suspects_.known_crashes(it.identity));
                }},
       limits_{{},
               env.now,
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -147,7 +147,8 @@
     env_.log->info("{}", line.payload());
 }
 
-void request_journal::crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes)
+void request_journal::crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes,
+                              std::size_t known)
 {
     env_.metrics.count("request_crashes_total");
     if (!may_write(true)) {
@@ -158,7 +159,17 @@
         .add("identity", gateway::to_text(attempt.identity))
         .add("service", attempt.service)
         .add("backend", attempt.backend)
-        .add("crashes", crashes);
+        .add("crashes", crashes)
+        .add("crashes_before", attempt.crashes_before)
+        .add("known_crashes", known);
+    env_.log->info("{}", line.payload());
+}
+
+void request_journal::crash_refuted(std::string_view backend, std::size_t requests)
+{
+    env_.metrics.count("request_crashes_refuted_total");
+    telemetry::event_line line{"crash_refuted"};
+    line.add("backend", backend).add("requests", requests);
     env_.log->info("{}", line.payload());
 }
 
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -19,8 +19,10 @@
     void decision(const gateway::exchange_record& record, std::string_view what,
                   std::string_view why);
     /// A backend server has ended while this request was in flight there.
-    /// `crashes`: that count against the request.
-    void crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes);
+    /// `crashes`: that count against the request; `known`: that it was in flight in.
+    void crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes, std::size_t known);
+    /// Heartbeats show that a backend server has not crashed.
+    void crash_refuted(std::string_view backend, std::size_t requests);
     /// A backend server's limit has begun, changed or ended.
     void limit_changed(const gateway::limit_change& change);
     /// A connection was closed while its caller was owed an answer.
