[rollout] Returned versions get no requests while the next one is rolled out

Cause: while a roll-out runs, choose_version took only the target out of the old versions; what had been returned before and still lives counted as old, in `saw` and `saw_pace` too.

The control log now records targets that were returned, or overtaken by another order during their trial. They get no request, also where nobody else serves, and their answers count for neither side. An order for one of them lets it in again. After a completed roll-out the answers of its version are the measure for the next one; they were left out before.

--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hickorypost::gateway {
 
@@ -22,12 +23,18 @@
     std::string reason;               ///< of the last step
 };
 
+/// Which versions of a service serve, besides one on trial.
+struct service_versions {
+    std::vector<std::string> returned; ///< targets of roll-outs that did not complete, oldest first
+};
+
 /// What operators were told is accepted: the newest configuration and the roll-outs.
 struct site_state {
     std::uint64_t config_version = 0;
     std::string config_packed;                      ///< byte for byte as it came, packed
     std::map<std::string, rollout_status> rollouts; ///< by service
     std::uint64_t revision = 0;                     ///< rises with each change
+    std::map<std::string, service_versions> versions; ///< by service
 };
 
 enum class control_kind : std::uint8_t { put_config, begin_rollout, step_rollout };
@@ -58,6 +65,7 @@
     bool put_config(control_command& command);
     bool begin_rollout(const rollout_status& order);
     bool step_rollout(const rollout_status& step);
+    void note_returned(const rollout_status& ended);
 
     site_state state_;
 };
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -45,6 +45,7 @@
     }
 
     void follow(const std::map<std::string, rollout_status>& rollouts, instant now);
+    void set_versions(const std::map<std::string, service_versions>& versions);
     /// Sessions that this process has seen on an old version and that a trial would move: other
     /// processes must keep them there too. Nothing if no trial has just begun.
     std::vector<std::uint64_t> take_pinned(instant now);
@@ -73,6 +74,7 @@
     struct service_view {
         rollout_status status;
         bool known = false;
+        service_versions versions;
         std::string incumbent; ///< the version that serves where no roll-out says otherwise
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
         /// The incumbent's running mean of time over reckoned time, by route and model.
@@ -88,6 +90,8 @@
         instant used;
     };
 
+    /// On trial, or returned from: gets no request but by its trial's share.
+    [[nodiscard]] static bool is_withheld(const service_view& it, const std::string& version);
     [[nodiscard]] bool wants_target(const service_view& it, std::uint64_t session, instant now);
     void note_session(std::uint64_t session, const std::string& version, instant now);
 
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -4,10 +4,19 @@
 #include "hickorypost/wire/codec.h"
 #include "hickorypost/wire/messages.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorypost::gateway {
 
+namespace {
+
+/// Returned versions that are remembered for each service. Their backend servers leave within
+/// seconds.
+constexpr std::size_t max_returned = 16;
+
+} // namespace
+
 std::string control_state::apply(const replog::entry& command)
 {
     auto it = wire::try_decode<control_command>(command.data);
@@ -49,10 +58,24 @@
     if (known != state_.rollouts.end() && known->second.target == order.target) {
         return false;
     }
+    if (known != state_.rollouts.end() && known->second.phase == rollout_phase::running) {
+        note_returned(known->second);
+    }
+    std::erase(state_.versions[order.service].returned, order.target);
     state_.rollouts[order.service] = order;
     return true;
 }
 
+void control_state::note_returned(const rollout_status& ended)
+{
+    auto& returned = state_.versions[ended.service].returned;
+    std::erase(returned, ended.target);
+    returned.push_back(ended.target);
+    if (returned.size() > max_returned) {
+        returned.erase(returned.begin());
+    }
+}
+
 bool control_state::step_rollout(const rollout_status& step)
 {
     const auto known = state_.rollouts.find(step.service);
@@ -61,6 +84,9 @@
         return false; // decided by a leader that did not know of a newer order or an end
     }
     known->second = step;
+    if (step.phase == rollout_phase::rolled_back) {
+        note_returned(step);
+    }
     return true;
 }
 
@@ -78,6 +104,12 @@
 void control_state::load(std::string_view state)
 {
     state_ = wire::try_decode<site_state>(state).value_or(site_state{});
+    // Snapshots of earlier releases carry no versions.
+    for (const auto& [service, status] : state_.rollouts) {
+        if (status.phase == rollout_phase::rolled_back && !state_.versions.contains(service)) {
+            note_returned(status);
+        }
+    }
 }
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -35,11 +35,9 @@
 constexpr std::size_t sessions_before_cleaning = 5000;
 constexpr double permille = 1000;
 
-void keep_version(std::vector<const backend_entry*>& candidates, const std::string& version,
-                  bool equal)
+void keep_version(std::vector<const backend_entry*>& candidates, const std::string& version)
 {
-    std::erase_if(candidates,
-                  [&](const auto* it) { return (it->record.version == version) != equal; });
+    std::erase_if(candidates, [&](const auto* it) { return it->record.version != version; });
 }
 
 /// Where a session lies between 0 and 1. By hash, so that all processes choose the same for it, and
@@ -72,6 +70,21 @@
     }
 }
 
+void rollout_view::set_versions(const std::map<std::string, service_versions>& versions)
+{
+    for (const auto& [service, it] : versions) {
+        services_[service].versions = it;
+    }
+}
+
+bool rollout_view::is_withheld(const service_view& it, const std::string& version)
+{
+    const auto& returned = it.versions.returned;
+    const bool completed = it.status.phase == rollout_phase::completed;
+    return (it.known && !completed && version == it.status.target) ||
+           std::find(returned.begin(), returned.end(), version) != returned.end();
+}
+
 std::vector<std::uint64_t> rollout_view::take_pinned(instant now)
 {
     std::vector<std::uint64_t> out;
@@ -142,17 +155,16 @@
     const std::uint64_t key = session.empty() ? 0 : hash_bytes(session);
     const bool target = running && !it.tripped && wants_target(it, key, now);
     auto chosen = candidates;
-    if (running) {
-        keep_version(chosen, it.status.target, target);
+    if (target) {
+        keep_version(chosen, it.status.target);
+    } else if (running) {
+        chosen.clear();
     } else {
-        keep_version(chosen, it.incumbent, true);
+        keep_version(chosen, it.incumbent);
     }
     if (chosen.empty()) {
-        // Nobody serves the wanted version: any other, but never one on trial or returned from.
         chosen = candidates;
-        if (it.known && it.status.phase != rollout_phase::completed) {
-            keep_version(chosen, it.status.target, false);
-        }
+        std::erase_if(chosen, [&](const auto* at) { return is_withheld(it, at->record.version); });
     }
     candidates = std::move(chosen);
     if (!candidates.empty()) {
@@ -164,7 +176,11 @@
 {
     const auto& version = answer.version;
     auto& it = services_[answer.service];
-    const bool target = it.known && version == it.status.target;
+    const bool running = it.known && it.status.phase == rollout_phase::running;
+    const bool target = running && version == it.status.target;
+    if (!target && is_withheld(it, version)) {
+        return;
+    }
     const double ms = static_cast<double>(answer.took.count()) / micros_per_milli;
     // Long prompts and large models take many times as long as short and small ones. Compared as
     // they are, a good version that met a few of them was sent back.
@@ -178,7 +194,7 @@
         const double expected = pace * reckoned;
         bad = bad || (ms > slow_factor * expected && ms > expected + slow_extra_ms);
     }
-    if (!it.known || it.status.phase != rollout_phase::running) {
+    if (!running) {
         return;
     }
     auto& tally = it.tallies[version];
@@ -194,7 +210,11 @@
                             const std::string& version, micros pace)
 {
     auto& it = services_[service];
-    const bool target = it.known && version == it.status.target;
+    const bool running = it.known && it.status.phase == rollout_phase::running;
+    const bool target = running && version == it.status.target;
+    if (!target && is_withheld(it, version)) {
+        return;
+    }
     const auto value = static_cast<double>(pace.count());
     auto& quartile =
         it.old_quartile.try_emplace(like, running_quantile{upper_quartile, quartile_step})
@@ -204,7 +224,7 @@
     if (!target) {
         quartile.add(value);
     }
-    if (it.known && it.status.phase == rollout_phase::running && quartile.known()) {
+    if (running && quartile.known()) {
         auto& tally = it.tallies[version];
         ++tally.paced;
         tally.slow += slow ? 1 : 0;
--- /dev/null
+++ b/modules/gateway/tests/rollout_view_test.cpp
@@ -0,0 +1,165 @@
+#include "hickorypost/gateway/rollout_view.h"
+
+#include "hickorypost/replog/types.h"
+#include "hickorypost/wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::gateway;
+
+const instant start{millis{100'000}};
+
+/// One host, the backend servers that it knows and the control log that it follows.
+struct one_host {
+    control_state control;
+    backend_directory directory{{}};
+    rollout_view view{seeded_random_fn(1), millis{10'000}};
+    instant now = start;
+
+    void register_backend(const std::string& id, const std::string& version,
+                          const std::string& service = "llm")
+    {
+        directory.take({id, service, "h:" + id, "d", version, 4, backend_state::ready, 0, 1}, now);
+    }
+    void apply(const control_command& command)
+    {
+        replog::entry entry;
+        entry.data = wire::encode(command);
+        control.apply(entry);
+        follow(control.state());
+    }
+    void follow(const site_state& state)
+    {
+        view.set_versions(state.versions);
+        view.follow(state.rollouts, now);
+    }
+    void order(const std::string& target, const std::string& service = "llm")
+    {
+        control_command command;
+        command.kind = control_kind::begin_rollout;
+        command.rollout = {service, target, 20'000, rollout_phase::running, 0, 0, {}};
+        apply(command);
+    }
+    void step(const std::string& target, rollout_phase phase, std::uint32_t share_permille,
+              std::uint64_t elapsed_ms, const std::string& service = "llm")
+    {
+        control_command command;
+        command.kind = control_kind::step_rollout;
+        command.rollout = {service, target, 20'000, phase, share_permille, elapsed_ms, {}};
+        apply(command);
+    }
+    /// The version that a request goes to; empty: none.
+    std::string version_for(const std::string& session, const std::string& service = "llm")
+    {
+        auto candidates = directory.usable(service, now);
+        view.choose_version(service, session, candidates, now);
+        return candidates.empty() ? std::string{} : candidates.front()->record.version;
+    }
+    /// Requests of 400 sessions that go to this version.
+    std::size_t count_to(const std::string& version, const std::string& prefix)
+    {
+        std::size_t out = 0;
+        for (int n = 0; n < 400; ++n) {
+            out += version_for(prefix + std::to_string(n)) == version ? 1U : 0U;
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rollout_view_suite)
+
+// Guards against sending requests to a returned version once the next roll-out is ordered.
+BOOST_AUTO_TEST_CASE(returned_version_gets_no_request_while_the_next_one_is_rolled_out)
+{
+    one_host it;
+    it.register_backend("b-old", "v1");
+    it.register_backend("a-bad", "v2");
+    it.order("v2");
+    it.step("v2", rollout_phase::rolled_back, 0, 3000);
+    it.register_backend("c-new", "v3");
+    it.order("v3");
+    BOOST_TEST(it.count_to("v2", "ordered") == 0U);
+    it.step("v3", rollout_phase::running, 300, 600);
+    it.now += millis{2000};
+    BOOST_TEST(it.count_to("v2", "trial") == 0U);
+    BOOST_TEST(it.count_to("v3", "trial") > 60U);
+    // Neither where nobody else serves.
+    it.directory.remove("b-old", it.now);
+    it.directory.remove("c-new", it.now);
+    BOOST_TEST(it.version_for("last") == "");
+}
+
+// Guards against a version that an order has overtaken during its trial.
+BOOST_AUTO_TEST_CASE(version_overtaken_by_another_order_gets_no_request)
+{
+    one_host it;
+    it.register_backend("b-old", "v1");
+    it.register_backend("a-overtaken", "v2");
+    it.order("v2");
+    it.step("v2", rollout_phase::running, 500, 12'000);
+    it.order("v3");
+    it.now += millis{2000};
+    BOOST_TEST(it.count_to("v2", "s") == 0U);
+}
+
+// Guards against a host that has just started and did not see the version being returned.
+BOOST_AUTO_TEST_CASE(returned_version_is_known_from_the_control_log_alone)
+{
+    one_host there;
+    there.order("v2");
+    there.step("v2", rollout_phase::rolled_back, 0, 3000);
+    there.order("v3");
+    control_state restored;
+    restored.load(there.control.save());
+    one_host it;
+    it.register_backend("b-old", "v1");
+    it.register_backend("a-bad", "v2");
+    it.follow(restored.state());
+    BOOST_TEST(it.count_to("v2", "s") == 0U);
+}
+
+// Guards against a version that stays out after it has been ordered again.
+BOOST_AUTO_TEST_CASE(returned_version_can_be_ordered_again)
+{
+    one_host it;
+    it.register_backend("b-old", "v1");
+    it.register_backend("a-again", "v2");
+    it.order("v2");
+    it.step("v2", rollout_phase::rolled_back, 0, 3000);
+    it.order("v3");
+    it.step("v3", rollout_phase::rolled_back, 0, 3000);
+    it.order("v2");
+    it.step("v2", rollout_phase::completed, 1000, 18'000);
+    BOOST_TEST(it.version_for("s") == "v2");
+}
+
+// Guards against comparing a new version with one that was returned.
+BOOST_AUTO_TEST_CASE(answers_of_a_returned_version_count_for_neither_side)
+{
+    one_host it;
+    it.order("v2");
+    it.step("v2", rollout_phase::rolled_back, 0, 3000);
+    it.order("v3");
+    const auto answer = [&](const std::string& version, millis took) {
+        it.view.saw({"llm", "r", "m", version, false, took, 20});
+        it.view.saw_pace("llm", "r", version, took);
+    };
+    for (int n = 0; n < 40; ++n) {
+        answer("v1", millis{20});
+        answer("v2", millis{900});
+    }
+    for (int n = 0; n < 10; ++n) {
+        answer("v3", millis{400});
+    }
+    for (const auto& row : it.view.take_report()) {
+        BOOST_TEST(row.version != "v2");
+        BOOST_TEST((row.version == "v1" || (row.seen.bad == 10U && row.seen.slow == 10U)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -304,6 +304,7 @@
 
 void gateway_role::take_state(const gateway::site_state& state)
 {
+    rollouts_.set_versions(state.versions);
     rollouts_.follow(state.rollouts, env_.now());
     feed_->spread_pins(rollouts_.take_pinned(env_.now()));
     if (state.config_packed.empty() ||
