[rollout] The incumbent version of a service is agreed by all hosts

Cause: each host took the first version that it saw for the incumbent. Hosts that join while a roll-out runs took one on trial, or one returned.

The leader has the control log name the incumbent of each service: the version of most ready backend servers that is neither on trial nor returned, once; a completed roll-out changes it.

--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -26,18 +26,26 @@
 /// Which versions of a service serve, besides one on trial.
 struct service_versions {
     std::vector<std::string> returned; ///< targets of roll-outs that did not complete, oldest first
+    /// The version that was ready first, then that of the last completed roll-out. Empty: none yet.
+    std::string incumbent;
 };
 
 /// What operators were told is accepted: the newest configuration and the roll-outs.
 struct site_state {
     std::uint64_t config_version = 0;
-    std::string config_packed;                      ///< byte for byte as it came, packed
-    std::map<std::string, rollout_status> rollouts; ///< by service
-    std::uint64_t revision = 0;                     ///< rises with each change
+    std::string config_packed;                        ///< byte for byte as it came, packed
+    std::map<std::string, rollout_status> rollouts;   ///< by service
+    std::uint64_t revision = 0;                       ///< rises with each change
     std::map<std::string, service_versions> versions; ///< by service
 };
 
-enum class control_kind : std::uint8_t { put_config, begin_rollout, step_rollout };
+enum class control_kind : std::uint8_t { put_config, begin_rollout, step_rollout, set_incumbent };
+
+/// The version that a service has before its first roll-out.
+struct first_version {
+    std::string service;
+    std::string version;
+};
 
 /// A command of the replicated log.
 struct control_command {
@@ -45,6 +53,7 @@
     std::uint64_t config_version = 0;
     std::string config_packed;
     rollout_status rollout;
+    first_version incumbent;
 };
 
 /// Applies control commands. The highest configuration version wins, whatever the order of arrival:
@@ -65,6 +74,7 @@
     bool put_config(control_command& command);
     bool begin_rollout(const rollout_status& order);
     bool step_rollout(const rollout_status& step);
+    bool set_incumbent(const first_version& first);
     void note_returned(const rollout_status& ended);
 
     site_state state_;
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -46,6 +46,11 @@
 
     void follow(const std::map<std::string, rollout_status>& rollouts, instant now);
     void set_versions(const std::map<std::string, service_versions>& versions);
+    /// The version that the control log should name as the incumbent of a service without one: that
+    /// of most candidates. Empty: it has one, or there is none that may be.
+    [[nodiscard]] std::string
+    find_incumbent(const std::string& service,
+                   const std::vector<const backend_entry*>& candidates) const;
     /// Sessions that this process has seen on an old version and that a trial would move: other
     /// processes must keep them there too. Nothing if no trial has just begun.
     std::vector<std::uint64_t> take_pinned(instant now);
@@ -75,7 +80,6 @@
         rollout_status status;
         bool known = false;
         service_versions versions;
-        std::string incumbent; ///< the version that serves where no roll-out says otherwise
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
         /// The incumbent's running mean of time over reckoned time, by route and model.
         std::map<std::pair<std::string, std::string>, double> old_pace;
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -34,6 +34,9 @@
     case control_kind::step_rollout:
         changed = step_rollout(it->rollout);
         break;
+    case control_kind::set_incumbent:
+        changed = set_incumbent(it->incumbent);
+        break;
     }
     if (changed) {
         ++state_.revision;
@@ -86,10 +89,26 @@
     known->second = step;
     if (step.phase == rollout_phase::rolled_back) {
         note_returned(step);
+    } else if (step.phase == rollout_phase::completed) {
+        state_.versions[step.service].incumbent = step.target;
     }
     return true;
 }
 
+bool control_state::set_incumbent(const first_version& first)
+{
+    auto& it = state_.versions[first.service];
+    const auto known = state_.rollouts.find(first.service);
+    const bool is_target = known != state_.rollouts.end() && known->second.target == first.version;
+    const bool was_returned =
+        std::find(it.returned.begin(), it.returned.end(), first.version) != it.returned.end();
+    if (!it.incumbent.empty() || is_target || was_returned) {
+        return false; // another leader was first, or it was not known to be a new version
+    }
+    it.incumbent = first.version;
+    return true;
+}
+
 std::string control_state::read(std::string_view query) const
 {
     const auto asked = wire::try_decode<wire::site_query>(query);
@@ -106,8 +125,13 @@
     state_ = wire::try_decode<site_state>(state).value_or(site_state{});
     // Snapshots of earlier releases carry no versions.
     for (const auto& [service, status] : state_.rollouts) {
-        if (status.phase == rollout_phase::rolled_back && !state_.versions.contains(service)) {
+        if (state_.versions.contains(service)) {
+            continue;
+        }
+        if (status.phase == rollout_phase::rolled_back) {
             note_returned(status);
+        } else if (status.phase == rollout_phase::completed) {
+            state_.versions[service].incumbent = status.target;
         }
     }
 }
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -77,6 +77,26 @@
     }
 }
 
+std::string rollout_view::find_incumbent(const std::string& service,
+                                         const std::vector<const backend_entry*>& candidates) const
+{
+    const auto found = services_.find(service);
+    if (found != services_.end() && !found->second.versions.incumbent.empty()) {
+        return {};
+    }
+    std::map<std::string, std::size_t> counts;
+    for (const auto* const it : candidates) {
+        const auto& version = it->record.version;
+        if (found == services_.end() || !is_withheld(found->second, version)) {
+            ++counts[version];
+        }
+    }
+    const auto most =
+        std::max_element(counts.begin(), counts.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    return most == counts.end() ? std::string{} : most->first;
+}
+
 bool rollout_view::is_withheld(const service_view& it, const std::string& version)
 {
     const auto& returned = it.versions.returned;
@@ -146,22 +166,11 @@
     }
     auto& it = services_[service];
     const bool running = it.known && it.status.phase == rollout_phase::running;
-    if (it.known && it.status.phase == rollout_phase::completed) {
-        it.incumbent = it.status.target;
-    } else if (it.incumbent.empty()) {
-        // The first version seen. A new one registers before its order has reached every process.
-        it.incumbent = candidates.front()->record.version;
-    }
     const std::uint64_t key = session.empty() ? 0 : hash_bytes(session);
     const bool target = running && !it.tripped && wants_target(it, key, now);
     auto chosen = candidates;
-    if (target) {
-        keep_version(chosen, it.status.target);
-    } else if (running) {
-        chosen.clear();
-    } else {
-        keep_version(chosen, it.incumbent);
-    }
+    // Only the incumbent, as a new version registers before its order has reached every process.
+    keep_version(chosen, target ? it.status.target : it.versions.incumbent);
     if (chosen.empty()) {
         chosen = candidates;
         std::erase_if(chosen, [&](const auto* at) { return is_withheld(it, at->record.version); });
--- a/modules/gateway/tests/rollout_view_test.cpp
+++ b/modules/gateway/tests/rollout_view_test.cpp
@@ -36,6 +36,13 @@
         view.set_versions(state.versions);
         view.follow(state.rollouts, now);
     }
+    void set_incumbent(const std::string& version, const std::string& service = "llm")
+    {
+        control_command command;
+        command.kind = control_kind::set_incumbent;
+        command.incumbent = {service, version};
+        apply(command);
+    }
     void order(const std::string& target, const std::string& service = "llm")
     {
         control_command command;
@@ -162,4 +169,89 @@
     }
 }
 
+// Guards against a host that joins during a trial and takes the new version for the old one.
+BOOST_AUTO_TEST_CASE(host_that_joins_in_a_trial_knows_the_incumbent)
+{
+    one_host there;
+    there.set_incumbent("v1");
+    there.order("v2");
+    there.step("v2", rollout_phase::rolled_back, 0, 3000);
+    there.order("v3");
+    there.step("v3", rollout_phase::running, 0, 400);
+    one_host it;
+    // The first that it is notified of are those of the new version, and of one not ordered yet.
+    it.register_backend("a-next", "v4");
+    it.register_backend("b-new", "v3");
+    it.register_backend("c-old", "v1");
+    it.follow(there.control.state());
+    BOOST_TEST(it.count_to("v1", "s") == 400U);
+    there.step("v3", rollout_phase::rolled_back, 0, 3000);
+    it.follow(there.control.state());
+    BOOST_TEST(it.count_to("v1", "s") == 400U);
+}
+
+// Guards against a host that goes on with the old version once a new one has all traffic.
+BOOST_AUTO_TEST_CASE(completed_rollout_changes_the_incumbent)
+{
+    one_host it;
+    it.set_incumbent("v1");
+    it.register_backend("a-old", "v1");
+    it.register_backend("b-new", "v2");
+    it.order("v2");
+    it.step("v2", rollout_phase::completed, 1000, 18'000);
+    it.register_backend("c-next", "v3");
+    it.order("v3");
+    BOOST_TEST(it.count_to("v2", "s") == 400U);
+    it.step("v3", rollout_phase::rolled_back, 0, 3000);
+    BOOST_TEST(it.count_to("v2", "s") == 400U);
+}
+
+// Guards against leaders that name different incumbents.
+BOOST_AUTO_TEST_CASE(incumbent_is_named_once)
+{
+    one_host it;
+    it.order("v2");
+    it.set_incumbent("v2");
+    BOOST_TEST(it.control.state().versions.at("llm").incumbent == "");
+    it.set_incumbent("v1");
+    it.set_incumbent("v0");
+    BOOST_TEST(it.control.state().versions.at("llm").incumbent == "v1");
+    BOOST_TEST(it.view.find_incumbent("llm", it.directory.usable("llm", it.now)) == "");
+}
+
+// Guards against naming a version on trial, or one that was returned, as the incumbent.
+BOOST_AUTO_TEST_CASE(incumbent_is_the_version_of_most_backends_but_new_ones)
+{
+    one_host it;
+    it.order("v2");
+    it.step("v2", rollout_phase::rolled_back, 0, 3000);
+    it.order("v3");
+    it.register_backend("a-new1", "v3");
+    it.register_backend("a-new2", "v3");
+    it.register_backend("b-returned", "v2");
+    const auto found = [&] {
+        return it.view.find_incumbent("llm", it.directory.usable("llm", it.now));
+    };
+    BOOST_TEST(found() == "");
+    it.register_backend("c-old", "v1");
+    BOOST_TEST(found() == "v1");
+    BOOST_TEST(it.view.find_incumbent("other", it.directory.usable("llm", it.now)) == "v3");
+}
+
+// Guards against a snapshot of an earlier release, which names no incumbent.
+BOOST_AUTO_TEST_CASE(snapshot_without_versions_is_completed)
+{
+    one_host it;
+    it.order("v2");
+    it.step("v2", rollout_phase::completed, 1000, 18'000);
+    it.order("v5", "app");
+    it.step("v5", rollout_phase::rolled_back, 0, 3000, "app");
+    site_state old = it.control.state();
+    old.versions.clear();
+    control_state restored;
+    restored.load(wire::encode(old));
+    BOOST_TEST(restored.state().versions.at("llm").incumbent == "v2");
+    BOOST_TEST(restored.state().versions.at("app").returned.front() == "v5");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -61,6 +61,7 @@
     [[nodiscard]] bool reaches_leader(const node_id& host) const;
     [[nodiscard]] const replog::group* group() const noexcept { return group_.get(); }
     [[nodiscard]] const node_id& leader() const noexcept { return leader_; }
+    [[nodiscard]] bool leads() const;
 
 private:
     struct pending_order {
@@ -93,7 +94,6 @@
     void send_note(const node_id& to);
     void handle_note(const node_id& from, const wire::core_note& msg);
     [[nodiscard]] wire::core_note note() const;
-    [[nodiscard]] bool leads() const;
 
     runtime& env_;
     const gateway_settings& config_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -345,8 +345,27 @@
            found->second.target != it->record.version;
 }
 
+void gateway_role::name_incumbents()
+{
+    if (!table_ || !control_->leads()) {
+        return;
+    }
+    for (const auto& it : table_->config().services) {
+        auto version = rollouts_.find_incumbent(it.name, directory_.usable(it.name, env_.now()));
+        if (version.empty()) {
+            continue;
+        }
+        env_.log->info("incumbent of {}: {}", it.name, version);
+        gateway::control_command command;
+        command.kind = gateway::control_kind::set_incumbent;
+        command.incumbent = {it.name, std::move(version)};
+        control_->commit(command, [](control_plane::order_status, const gateway::site_state*) {});
+    }
+}
+
 void gateway_role::tick()
 {
+    name_incumbents();
     control_->take_versions(rollouts_.take_report());
     release_callers();
     if (ready() != was_ready_) {
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -59,6 +59,8 @@
     void take_state(const gateway::site_state& state);
     /// Whether a backend server was to end: it drains, has left, or its version is retired.
     [[nodiscard]] bool end_expected(const gateway::attempt_target& target) const;
+    /// Where this host leads: has the control log name the incumbents of services without one.
+    void name_incumbents();
     void tick();
     void drain_step(const std::function<void()>& done);
     void collect_metrics(telemetry::metrics& to) const;
