[gateway] Heartbeats from before a crash do not refute it

What callers saw: a host that knew of three crashes of a request counted fewer and did not refuse it, so that it went on to crash further backend servers.

Cause: two heartbeats of a backend server after the report of its crash counted as proof that it lives, whenever they were sent. Each host passes heartbeats on every half second; those of the last second before a crash arrive at another host by three paths after it.

13:54:33.346 request_crashed backend i-e3 crashes 1 crashes_before 0 known_crashes 1 13:54:33.362 crash_refuted backend i-e3 requests 1 13:54:33.376 request_crashed backend i-e6 crashes 1 crashes_before 1 known_crashes 1

Ruled out by the same lines: equal `crashes_before` and `explained`, as `known_crashes` falls with each `crash_refuted`; facts that are late between hosts, as it is the host of the crashes itself.

The crash is now refuted only by heartbeats that go on: from `max_heartbeat_delay` after the crash, for as long again. What was sent before has arrived by then, and what a cut held up arrives at once when it ends. A request blamed for a backend server that lives is a suspect for 12 s plus two heartbeats instead of two heartbeats.

The test heartbeats_of_a_backend_refute_its_crash asserted the fault: two heartbeats at the very moment of the crash had to refute it. It now asserts that heartbeats that go on refute within 15 s; two new cases assert that those from before the crash do not, in 50 arrivals over 5.5 s and 50 at once after a cut.

--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -40,9 +40,9 @@
     millis clear_retention{60'000};
     /// Facts that are kept; those about the fewest crashes yield first.
     std::size_t max_facts = 4096;
-    /// Heartbeats after which a backend server that was taken for crashed is alive. One may have
-    /// been delayed in transit.
-    std::uint32_t beats_to_refute = 2;
+    /// How late a heartbeat may arrive. A backend server that was taken for crashed is alive once
+    /// its heartbeats have gone on for this long, from this long after its crash.
+    millis max_heartbeat_delay{6000};
 };
 
 /// Which requests crash the backend servers that run them. Performs no I/O itself.
@@ -69,7 +69,7 @@
     void tried(const request_identity& identity);
     /// Takes a fact from another host. Returns true if it is news.
     bool take(const crash_fact& fact);
-    /// A heartbeat has arrived that the backend server sent lately.
+    /// A heartbeat has arrived, directly or from another host.
     void heartbeat(std::string_view backend);
     void expire();
 
@@ -111,7 +111,8 @@
     };
     struct victim_list {
         std::vector<request_identity> identities;
-        std::uint32_t beats = 0;
+        instant ended;       ///< the last crash that was reported
+        instant alive_since; ///< the first heartbeat that cannot be from before; the epoch: none
     };
     using record_map = std::unordered_map<request_identity, record, request_identity_hash>;
 
--- a/modules/gateway/src/crash_ledger.cpp
+++ b/modules/gateway/src/crash_ledger.cpp
@@ -8,8 +8,8 @@
 
 crash_ledger::crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share,
                            refuted_fn refuted)
-    : settings_{settings}, now_{std::move(now)}, share_{std::move(share)},
-      refuted_{std::move(refuted)}
+    : settings_{settings}, now_{std::move(now)}, share_{std::move(share)}, refuted_{
+                                                                               std::move(refuted)}
 {
 }
 
@@ -119,7 +119,12 @@
     const bool news = known == it.marks.end();
     if (news) {
         it.marks.push_back({fact.backend, fact.crashes_before, fact.at});
-        victims_[fact.backend].identities.push_back(fact.identity);
+        auto& victims = victims_[fact.backend];
+        victims.identities.push_back(fact.identity);
+        if (fact.at > victims.ended) {
+            victims.ended = fact.at;
+            victims.alive_since = {};
+        }
         ++facts_;
     } else {
         known->crashes_before = std::min(known->crashes_before, fact.crashes_before);
@@ -150,10 +155,23 @@
 void crash_ledger::heartbeat(std::string_view backend)
 {
     const auto found = victims_.find(backend);
-    if (found == victims_.end() || ++found->second.beats < settings_.beats_to_refute) {
+    if (found == victims_.end()) {
+        return;
+    }
+    // Several heartbeats from before the crash may arrive after it: by different paths, or all at
+    // once when a cut ends. Only a living sender goes on.
+    auto& [victims, ended, alive_since] = found->second;
+    const instant now = now_();
+    if (now < ended + settings_.max_heartbeat_delay) {
+        return;
+    }
+    if (alive_since == instant{}) {
+        alive_since = now;
+    }
+    if (now < alive_since + settings_.max_heartbeat_delay) {
         return;
     }
-    const auto identities = std::move(found->second.identities);
+    const auto identities = std::move(victims);
     victims_.erase(found);
     for (const auto& identity : identities) {
         auto& marks = records_.at(identity).marks;
--- a/modules/gateway/tests/crash_ledger_test.cpp
+++ b/modules/gateway/tests/crash_ledger_test.cpp
@@ -104,10 +104,47 @@
 {
     one_ledger it;
     it.crash("i-1", {good});
+    const instant ended = it.now;
+    while (it.ledger.crashes(good) == 1U && it.now < ended + millis{60'000}) {
+        it.now += millis{1200};
+        it.ledger.heartbeat("i-1");
+    }
+    BOOST_TEST(it.ledger.crashes(good) == 0U);
+    BOOST_TEST((it.now < ended + millis{15'000}));
+}
+
+// Guards against taking a crashed backend server for alive by heartbeats that it sent before.
+BOOST_AUTO_TEST_CASE(heartbeats_sent_before_a_crash_do_not_refute_it)
+{
+    one_ledger it;
+    it.crash("i-1", {crasher});
+    // By way of several hosts within the time that a heartbeat may take.
+    for (int n = 0; n < 50; ++n) {
+        it.ledger.heartbeat("i-1");
+        it.now += millis{110};
+    }
+    BOOST_TEST(it.ledger.crashes(crasher) == 1U);
+    // All that were held up by a cut, when it ends.
+    it.now += millis{20'000};
+    for (int n = 0; n < 50; ++n) {
+        it.ledger.heartbeat("i-1");
+        it.now += millis{20};
+    }
+    BOOST_TEST(it.ledger.crashes(crasher) == 1U);
+}
+
+// Guards against refuting a crash by heartbeats from before that crash, though after another one.
+BOOST_AUTO_TEST_CASE(heartbeats_between_two_reported_crashes_refute_neither)
+{
+    one_ledger it;
+    it.crash("i-1", {good});
+    it.now += millis{7000};
     it.ledger.heartbeat("i-1");
-    BOOST_TEST(it.ledger.crashes(good) == 1U);
+    it.crash("i-1", {other});
+    it.now += millis{6500};
     it.ledger.heartbeat("i-1");
-    BOOST_TEST(it.ledger.crashes(good) == 0U);
+    BOOST_TEST(it.ledger.crashes(good) == 1U);
+    BOOST_TEST(it.ledger.crashes(other) == 1U);
 }
 
 // Guards against a refusal for ever, after a new version has fixed what crashed.
