[rollout] Sessions keep their version on hosts that join, in each roll-out

Sessions that stay on the old version were broadcast once, when a trial's share arrived. Hosts that joined later moved them, and for 600 ms kept back those that had moved; two roll-outs that began together overwrote each other's flag and share; a session had one version for all services; sessions that began before the trial started were not broadcast; pins expired while their session went on.

Sessions are kept by service. One that is seen on the old version while a trial would move it is broadcast, again while it is in use; hosts that connect get all that are known; only news is passed on. A host that gets order and share at once begins the trial at once.

--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -51,11 +51,13 @@
     [[nodiscard]] std::string
     find_incumbent(const std::string& service,
                    const std::vector<const backend_entry*>& candidates) const;
-    /// Sessions that this process has seen on an old version and that a trial would move: other
-    /// processes must keep them there too. Nothing if no trial has just begun.
+    /// Sessions that this process has seen on an old version and that a trial would move, since the
+    /// last call: other processes must keep them there too.
     std::vector<std::uint64_t> take_pinned(instant now);
-    /// Sessions that another process has seen on an old version.
-    void pin(const std::vector<std::uint64_t>& sessions, instant now);
+    /// All such sessions that are known here, for a process that has just been connected.
+    [[nodiscard]] std::vector<std::uint64_t> pinned_sessions(instant now) const;
+    /// Sessions that another process has seen on an old version. Returns those that are news.
+    std::vector<std::uint64_t> pin(const std::vector<std::uint64_t>& sessions, instant now);
 
     /// Leaves the candidates of the version that this request goes to. A session that is known
     /// keeps its version through the first half of a roll-out.
@@ -76,6 +78,12 @@
     std::vector<report_row> take_report();
 
 private:
+    struct session_mark {
+        std::string version;
+        instant used;
+        instant shared; ///< when other processes were last told to keep it there
+    };
+    using session_map = std::unordered_map<std::uint64_t, session_mark>;
     struct service_view {
         rollout_status status;
         bool known = false;
@@ -88,24 +96,26 @@
         instant trial_from;       ///< the trial's share applies from then on in this process
         std::uint32_t streak = 0; ///< bad answers of the new version lately
         bool tripped = false;     ///< too many: no new work until the leader decides
-    };
-    struct session_mark {
-        std::string version;
-        instant used;
+        session_map sessions;     ///< by hash of the service's and the session's name
+        std::vector<std::uint64_t> unshared; ///< to be pinned by other processes
+        instant clean_due;
     };
 
     /// On trial, or returned from: gets no request but by its trial's share.
     [[nodiscard]] static bool is_withheld(const service_view& it, const std::string& version);
     [[nodiscard]] bool wants_target(const service_view& it, std::uint64_t session, instant now);
-    void note_session(std::uint64_t session, const std::string& version, instant now);
+    [[nodiscard]] bool is_pinned(std::uint64_t session, instant now) const;
+    /// Whether a trial would move this session if it weren't known on its old version.
+    [[nodiscard]] bool needs_pin(const service_view& it, std::uint64_t session,
+                                 const session_mark& mark, instant now) const;
+    void note_session(service_view& it, std::uint64_t session, const std::string& version,
+                      instant now);
 
     random_fn random_;
     millis session_memory_;
     std::map<std::string, service_view> services_;
-    std::unordered_map<std::uint64_t, session_mark> sessions_; ///< by hash of the session's name
-    bool pinned_due_ = false;
-    double trial_share_ = 0;
-    instant clean_due_;
+    /// Sessions on an old version elsewhere, and when that was last told.
+    std::unordered_map<std::uint64_t, instant> pinned_;
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -47,26 +47,46 @@
     return static_cast<double>(session % buckets) / static_cast<double>(buckets);
 }
 
+double share_of(const rollout_status& status)
+{
+    return static_cast<double>(status.share_permille) / permille;
+}
+
+bool in_first_half(const rollout_status& status)
+{
+    return status.elapsed_ms * 2 < status.duration_ms;
+}
+
 } // namespace
 
 void rollout_view::follow(const std::map<std::string, rollout_status>& rollouts, instant now)
 {
     for (const auto& [service, status] : rollouts) {
         auto& it = services_[service];
-        if (!it.known || it.status.target != status.target) {
+        const bool is_new_order = !it.known || it.status.target != status.target;
+        if (is_new_order) {
             it.tripped = false;
             it.streak = 0;
             it.status.share_permille = 0;
+            it.tallies.clear();
         }
         const bool begins = status.phase == rollout_phase::running && status.share_permille > 0 &&
                             it.status.share_permille == 0;
         if (begins) {
-            it.trial_from = now + pin_time;
-            pinned_due_ = true;
-            trial_share_ = static_cast<double>(status.share_permille) / permille;
+            // A process that gets the order and the trial at once comes late: the trial is under
+            // way elsewhere.
+            it.trial_from = is_new_order ? now : now + pin_time;
         }
         it.status = status;
         it.known = true;
+        if (begins) {
+            for (auto& [session, mark] : it.sessions) {
+                if (needs_pin(it, session, mark, now)) {
+                    it.unshared.push_back(session);
+                    mark.shared = now;
+                }
+            }
+        }
     }
 }
 
@@ -108,53 +128,101 @@
 std::vector<std::uint64_t> rollout_view::take_pinned(instant now)
 {
     std::vector<std::uint64_t> out;
-    if (!std::exchange(pinned_due_, false)) {
-        return out;
+    for (auto& [service, it] : services_) {
+        for (const auto session : std::exchange(it.unshared, {})) {
+            const auto mark = it.sessions.find(session);
+            if (mark != it.sessions.end() && needs_pin(it, session, mark->second, now)) {
+                out.push_back(session);
+            }
+        }
+    }
+    return out;
+}
+
+std::vector<std::uint64_t> rollout_view::pinned_sessions(instant now) const
+{
+    std::vector<std::uint64_t> out;
+    for (const auto& [service, it] : services_) {
+        for (const auto& [session, mark] : it.sessions) {
+            if (needs_pin(it, session, mark, now) && !is_pinned(session, now)) {
+                out.push_back(session);
+            }
+        }
     }
-    for (const auto& [session, mark] : sessions_) {
-        if (place_of(session) < trial_share_ && now < mark.used + session_memory_) {
+    for (const auto& [session, told] : pinned_) {
+        if (is_pinned(session, now)) {
             out.push_back(session);
         }
     }
     return out;
 }
 
-void rollout_view::pin(const std::vector<std::uint64_t>& sessions, instant now)
+std::vector<std::uint64_t> rollout_view::pin(const std::vector<std::uint64_t>& sessions,
+                                             instant now)
 {
+    std::vector<std::uint64_t> out;
+    std::erase_if(pinned_, [&](const auto& it) { return now >= it.second + session_memory_; });
     for (const auto session : sessions) {
-        // The version's name is not told: any that is not the new one keeps the session on the old.
-        sessions_.try_emplace(session, session_mark{"", now});
+        const auto [at, is_new] = pinned_.try_emplace(session, now);
+        if (is_new || now >= at->second + session_memory_ / 2) {
+            at->second = now;
+            out.push_back(session);
+        }
     }
+    return out;
+}
+
+bool rollout_view::is_pinned(std::uint64_t session, instant now) const
+{
+    const auto it = pinned_.find(session);
+    return it != pinned_.end() && now < it->second + session_memory_;
+}
+
+bool rollout_view::needs_pin(const service_view& it, std::uint64_t session,
+                             const session_mark& mark, instant now) const
+{
+    return it.known && it.status.phase == rollout_phase::running && in_first_half(it.status) &&
+           place_of(session) < share_of(it.status) && mark.version != it.status.target &&
+           now < mark.used + session_memory_;
 }
 
 bool rollout_view::wants_target(const service_view& it, std::uint64_t session, instant now)
 {
-    const auto share = static_cast<double>(it.status.share_permille) / permille;
     if (now < it.trial_from) {
         return false;
     }
     if (session == 0) {
-        return unit_random(random_) < share;
+        return unit_random(random_) < share_of(it.status);
     }
-    const auto mark = sessions_.find(session);
-    const bool known = mark != sessions_.end() && now < mark->second.used + session_memory_;
-    const bool first_half = it.status.elapsed_ms * 2 < it.status.duration_ms;
-    if (known && (first_half || mark->second.version == it.status.target)) {
-        return mark->second.version == it.status.target;
+    const auto mark = it.sessions.find(session);
+    const bool known = mark != it.sessions.end() && now < mark->second.used + session_memory_;
+    if (known && mark->second.version == it.status.target) {
+        return true;
     }
-    return place_of(session) < share;
+    if (in_first_half(it.status) && (known || is_pinned(session, now))) {
+        return false;
+    }
+    return place_of(session) < share_of(it.status);
 }
 
-void rollout_view::note_session(std::uint64_t session, const std::string& version, instant now)
+void rollout_view::note_session(service_view& it, std::uint64_t session, const std::string& version,
+                                instant now)
 {
     if (session == 0) {
         return;
     }
-    sessions_[session] = {version, now};
-    if (sessions_.size() > sessions_before_cleaning && now > clean_due_) {
-        clean_due_ = now + session_memory_ / 2;
-        std::erase_if(sessions_,
-                      [&](const auto& mark) { return now > mark.second.used + session_memory_; });
+    auto& mark = it.sessions[session];
+    mark.version = version;
+    mark.used = now;
+    const bool shared_lately = now < mark.shared + session_memory_ / 2;
+    if (!shared_lately && needs_pin(it, session, mark, now)) {
+        it.unshared.push_back(session);
+        mark.shared = now;
+    }
+    if (it.sessions.size() > sessions_before_cleaning && now > it.clean_due) {
+        it.clean_due = now + session_memory_ / 2;
+        std::erase_if(it.sessions,
+                      [&](const auto& at) { return now > at.second.used + session_memory_; });
     }
 }
 
@@ -166,7 +234,7 @@
     }
     auto& it = services_[service];
     const bool running = it.known && it.status.phase == rollout_phase::running;
-    const std::uint64_t key = session.empty() ? 0 : hash_bytes(session);
+    const std::uint64_t key = session.empty() ? 0 : hash_bytes(session, hash_bytes(service));
     const bool target = running && !it.tripped && wants_target(it, key, now);
     auto chosen = candidates;
     // Only the incumbent, as a new version registers before its order has reached every process.
@@ -177,7 +245,7 @@
     }
     candidates = std::move(chosen);
     if (!candidates.empty()) {
-        note_session(key, candidates.front()->record.version, now);
+        note_session(it, key, candidates.front()->record.version, now);
     }
 }
 
--- a/modules/gateway/tests/rollout_view_test.cpp
+++ b/modules/gateway/tests/rollout_view_test.cpp
@@ -58,6 +58,12 @@
         command.rollout = {service, target, 20'000, phase, share_permille, elapsed_ms, {}};
         apply(command);
     }
+    /// Takes the state of another host and what that has to tell.
+    void pin_and_follow(one_host& other)
+    {
+        follow(other.control.state());
+        view.pin(other.view.take_pinned(now), now);
+    }
     /// The version that a request goes to; empty: none.
     std::string version_for(const std::string& session, const std::string& service = "llm")
     {
@@ -254,4 +260,140 @@
     BOOST_TEST(restored.state().versions.at("app").returned.front() == "v5");
 }
 
+namespace {
+
+/// A host whose sessions s0 to s399 ran on the old versions of two services.
+struct busy_host : one_host {
+    busy_host()
+    {
+        for (const auto* const service : {"llm", "app"}) {
+            set_incumbent("v1", service);
+            register_backend(std::string{"a-old-"} + service, "v1", service);
+            for (int n = 0; n < 400; ++n) {
+                version_for("s" + std::to_string(n), service);
+            }
+            register_backend(std::string{"b-new-"} + service, "v2", service);
+            order("v2", service);
+        }
+    }
+};
+
+/// A host that has started in the middle of a trial.
+struct late_host : one_host {
+    explicit late_host(const one_host& other)
+    {
+        for (const auto* const service : {"llm", "app"}) {
+            register_backend(std::string{"a-old-"} + service, "v1", service);
+            register_backend(std::string{"b-new-"} + service, "v2", service);
+        }
+        now = other.now;
+        follow(other.control.state());
+    }
+    std::size_t moved(const std::string& service)
+    {
+        std::size_t out = 0;
+        for (int n = 0; n < 400; ++n) {
+            out += version_for("s" + std::to_string(n), service) == "v2" ? 1U : 0U;
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+// Guards against two roll-outs that begin together, of which one moves the other's sessions.
+BOOST_AUTO_TEST_CASE(rollouts_that_begin_together_pin_the_sessions_of_both)
+{
+    busy_host one;
+    late_host two{one};
+    for (const auto* const service : {"llm", "app"}) {
+        const std::uint32_t share = service == std::string{"llm"} ? 300 : 50;
+        one.step("v2", rollout_phase::running, share, 600, service);
+    }
+    two.pin_and_follow(one);
+    two.now += millis{2000};
+    BOOST_TEST(two.moved("llm") == 0U);
+    BOOST_TEST(two.moved("app") == 0U);
+}
+
+// Guards against a host that joins during a trial and moves the sessions of others.
+BOOST_AUTO_TEST_CASE(host_that_joins_in_a_trial_keeps_sessions_on_their_version)
+{
+    busy_host one;
+    one.step("v2", rollout_phase::running, 300, 600);
+    one.view.take_pinned(one.now);
+    one.now += millis{4000};
+    late_host two{one};
+    two.view.pin(one.view.pinned_sessions(one.now), two.now);
+    BOOST_TEST(two.moved("llm") == 0U);
+    // It passes on what it was told to hosts that join after it.
+    late_host three{one};
+    three.view.pin(two.view.pinned_sessions(two.now), three.now);
+    BOOST_TEST(three.moved("llm") == 0U);
+}
+
+// Guards against a host that joins during a trial and moves sessions back to the old version.
+BOOST_AUTO_TEST_CASE(host_that_joins_in_a_trial_keeps_sessions_on_the_new_version)
+{
+    busy_host one;
+    one.step("v2", rollout_phase::running, 300, 600);
+    one.now += millis{2000};
+    late_host two{one};
+    for (int n = 0; n < 400; ++n) {
+        const std::string session = "new" + std::to_string(n);
+        BOOST_TEST(two.version_for(session) == one.version_for(session));
+    }
+}
+
+// Guards against moving a session that began between the order of a trial and its start.
+BOOST_AUTO_TEST_CASE(sessions_that_begin_before_the_trial_starts_are_pinned)
+{
+    busy_host one;
+    late_host two{one};
+    one.step("v2", rollout_phase::running, 300, 600);
+    two.pin_and_follow(one);
+    one.now += millis{500};
+    BOOST_TEST(one.count_to("v2", "late") == 0U);
+    two.view.pin(one.view.take_pinned(one.now), one.now);
+    two.now += millis{2000};
+    BOOST_TEST(two.count_to("v2", "late") == 0U);
+}
+
+// Guards against taking the version that a session has at another service for its own.
+BOOST_AUTO_TEST_CASE(session_has_a_version_at_each_service)
+{
+    one_host it;
+    it.set_incumbent("v2", "app");
+    it.register_backend("a-app", "v2", "app");
+    it.set_incumbent("v1", "llm");
+    it.register_backend("a-old", "v1");
+    it.register_backend("b-new", "v2");
+    it.order("v2");
+    it.step("v2", rollout_phase::running, 50, 600);
+    it.now += millis{2000};
+    std::size_t moved = 0;
+    for (int n = 0; n < 400; ++n) {
+        const std::string session = "s" + std::to_string(n);
+        it.version_for(session, "app");
+        moved += it.version_for(session) == "v2" ? 1U : 0U;
+    }
+    BOOST_TEST(moved < 60U);
+}
+
+// Guards against a session that lasts longer than its pin on other hosts.
+BOOST_AUTO_TEST_CASE(pins_of_a_session_in_use_are_renewed)
+{
+    busy_host one;
+    late_host two{one};
+    one.step("v2", rollout_phase::running, 300, 600);
+    two.pin_and_follow(one);
+    for (int turn = 0; turn < 20; ++turn) {
+        one.now += millis{1000};
+        two.now = one.now;
+        one.count_to("v1", "s");
+        two.view.pin(one.view.take_pinned(one.now), two.now);
+    }
+    BOOST_TEST(two.moved("llm") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -207,6 +207,9 @@
     if (!facts.rows.empty()) {
         mesh_.send(to, facts);
     }
+    if (auto sessions = hooks_.pinned(); !sessions.empty()) {
+        mesh_.send(to, wire::session_pins{std::move(sessions)});
+    }
     for (const auto& [id, per_second] : limits_.all()) {
         mesh_.send(to, wire::backend_limit{id, per_second});
     }
@@ -298,8 +301,9 @@
         return true;
     case wire::message_type::session_pins:
         if (const auto it = wire::try_decode<wire::session_pins>(body)) {
-            hooks_.pins(it->sessions);
-            spread(*it, from);
+            if (auto news = hooks_.pins(it->sessions); !news.empty()) {
+                spread(wire::session_pins{std::move(news)}, from);
+            }
         }
         return true;
     case wire::message_type::probe_failure:
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -22,7 +22,10 @@
     std::function<void(const std::string& backend)> superseded;
     /// Whether a host with a disk is in contact with the control log's leader, as far as is known.
     std::function<bool(const node_id& host)> reaches_leader;
-    std::function<void(const std::vector<std::uint64_t>& sessions)> pins;
+    /// Another host has seen these sessions on an old version. Returns those that are news.
+    std::function<std::vector<std::uint64_t>(const std::vector<std::uint64_t>& sessions)> pins;
+    /// Sessions that a host which has just been connected must keep on their old version.
+    std::function<std::vector<std::uint64_t>()> pinned;
     /// Another host has announced a limit.
     std::function<void(const gateway::limit_change&)> limit_changed;
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -170,8 +170,9 @@
         return control_->reaches_leader(host);
     };
     for_feed.pins = [this](const std::vector<std::uint64_t>& sessions) {
-        rollouts_.pin(sessions, env_.now());
+        return rollouts_.pin(sessions, env_.now());
     };
+    for_feed.pinned = [this] { return rollouts_.pinned_sessions(env_.now()); };
     for_feed.limit_changed = [this](const gateway::limit_change& it) {
         journal_.limit_changed(it);
     };
@@ -366,6 +367,7 @@
 void gateway_role::tick()
 {
     name_incumbents();
+    feed_->spread_pins(rollouts_.take_pinned(env_.now()));
     control_->take_versions(rollouts_.take_report());
     release_callers();
     if (ready() != was_ready_) {
