--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -74,8 +74,13 @@
                timers_,
                env.now,
                [this](const gateway::attempt_target& to, std::function<void(bool)> done) {
+                   auto log_and_call = [this, backend = to.backend,
+                                        done = std::move(done)](bool refused) {
+                       journal_.crash_checked(backend, refused);
+                       done(refused);
+                   };
                    return std::make_unique<backend_dial>(poller_, timers_, env_.now, to.address,
-                                                         std::move(done));
+                                                         std::move(log_and_call));
                },
                [this](const gateway::attempt_target& it) { return end_expected(it); },
                [this](const gateway::crashed_attempt& it) {
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -165,6 +165,16 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::crash_checked(std::string_view backend, bool refused)
+{
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"crash_checked"};
+    line.add("backend", backend).add("connection", refused ? "refused" : "accepted");
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::crash_refuted(std::string_view backend, std::size_t requests)
 {
     env_.metrics.count("request_crashes_refuted_total");
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -21,6 +21,8 @@
     /// A backend server has ended while this request was in flight there.
     /// `crashes`: that count against the request; `known`: that it was in flight in.
     void crashed(const gateway::crashed_attempt& attempt, std::uint32_t crashes, std::size_t known);
+    /// The connection of a request in flight was lost, and a new one was refused or accepted.
+    void crash_checked(std::string_view backend, bool refused);
     /// Heartbeats show that a backend server has not crashed.
     void crash_refuted(std::string_view backend, std::size_t requests);
     /// A backend server's limit has begun, changed or ended.
