[gateway] A connection counts as accepted once the server has kept it

What callers saw: a request that had crashed three backend servers was not refused, as its host had counted two, so that it went on to crash further ones.

Cause: a lost connection counts as a crash if a new one is refused, and a process that ends may close its connections before it stops listening. A connection in between is accepted.

The new connection must now be kept by the server for 40 ms. If the server closes it first, another one is opened, three at most.

--- a/src/gateway/backend_dial.cpp
+++ b/src/gateway/backend_dial.cpp
@@ -8,23 +8,18 @@
 
 /// Longer than anybody waits for the result: a dial that nobody answers is destroyed before.
 constexpr millis silence_limit{2000};
+/// A server that ends may close its connections some time before it stops listening.
+constexpr millis accepted_for{40};
+constexpr std::uint32_t max_connects = 3;
 
 } // namespace
 
 backend_dial::backend_dial(net::poller& on, gateway::scheduler& timers, clock_fn now,
                            const std::string& address, std::function<void(bool refused)> done)
-    : timers_{timers}, now_{std::move(now)}, done_{std::move(done)}
+    : poller_{on}, timers_{timers}, now_{std::move(now)}, to_{net::endpoint::parse(address)},
+      done_{std::move(done)}
 {
-    const auto to = net::endpoint::parse(address);
-    if (!to) {
-        finish(false);
-        return;
-    }
-    stream_ = net::tcp_stream::connect(on, *to, silence_limit);
-    net::tcp_stream::hooks hooks;
-    hooks.connected = [this] { finish(false); };
-    hooks.ended = [this](net::stream_end how) { finish(how == net::stream_end::refused); };
-    stream_->set_hooks(std::move(hooks));
+    connect();
 }
 
 backend_dial::~backend_dial()
@@ -32,17 +27,49 @@
     timers_.cancel(timer_);
 }
 
-void backend_dial::finish(bool refused)
+void backend_dial::connect()
 {
-    if (timer_ != 0) {
+    if (!to_) {
+        finish(false, millis{0});
         return;
     }
-    // Not from within a hook of the stream: the subscriber destroys this dial.
-    timer_ = timers_.add(now_(), [this, refused] {
-        timer_ = 0;
+    ++connects_;
+    connected_ = false;
+    stream_ = net::tcp_stream::connect(poller_, *to_, silence_limit);
+    net::tcp_stream::hooks hooks;
+    hooks.connected = [this] {
+        connected_ = true;
+        finish(false, accepted_for);
+    };
+    hooks.ended = [this](net::stream_end how) { ended(how); };
+    stream_->set_hooks(std::move(hooks));
+}
+
+void backend_dial::ended(net::stream_end how)
+{
+    if (connected_ && connects_ < max_connects) {
+        call_later(millis{0}, [this] { connect(); });
+        return;
+    }
+    finish(how == net::stream_end::refused, millis{0});
+}
+
+void backend_dial::finish(bool refused, millis delay)
+{
+    call_later(delay, [this, refused] {
         const auto done = std::move(done_);
         done(refused);
     });
 }
 
+void backend_dial::call_later(millis delay, std::function<void()> hook)
+{
+    // Not from within a hook of the stream, which its subscriber destroys.
+    timers_.cancel(timer_);
+    timer_ = timers_.add(now_() + delay, [this, hook = std::move(hook)] {
+        timer_ = 0;
+        hook();
+    });
+}
+
 } // namespace hickorypost
--- a/src/gateway/backend_dial.h
+++ b/src/gateway/backend_dial.h
@@ -5,11 +5,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace hickorypost {
 
-/// Opens a connection to a backend server and closes it again without sending anything.
-/// `done(true)`: it was refused. Nothing is called if nobody answers, or after destruction.
+/// Opens a connection to a backend server and closes it again without sending anything. If the
+/// server closes it first, which it does as it ends, another one is opened.
+/// `done(true)`: one was refused. Nothing is called if nobody answers, or after destruction.
 class backend_dial final : public gateway::dial {
 public:
     backend_dial(net::poller& on, gateway::scheduler& timers, clock_fn now,
@@ -19,13 +21,21 @@
     backend_dial& operator=(const backend_dial&) = delete;
 
 private:
-    void finish(bool refused);
+    void connect();
+    void ended(net::stream_end how);
+    /// Calls `done` after this long, unless something else is called before.
+    void finish(bool refused, millis delay);
+    void call_later(millis delay, std::function<void()> hook);
 
+    net::poller& poller_;
     gateway::scheduler& timers_;
     clock_fn now_;
+    std::optional<net::endpoint> to_;
     std::function<void(bool refused)> done_;
     std::unique_ptr<net::tcp_stream> stream_;
     std::uint64_t timer_ = 0;
+    bool connected_ = false;
+    std::uint32_t connects_ = 0;
 };
 
 } // namespace hickorypost
--- /dev/null
+++ b/tests/gateway/loopback_listener.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "hickorypost/net/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hickorypost::testing {
+
+/// Listens on a free port of the loopback address until it is closed.
+class loopback_listener {
+public:
+    loopback_listener() : fd_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)}
+    {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const raw = reinterpret_cast<sockaddr*>(&at);
+        if (::bind(fd_, raw, size) == 0 && ::listen(fd_, 16) == 0 &&
+            ::getsockname(fd_, raw, &size) == 0) {
+            port_ = ntohs(at.sin_port);
+        }
+    }
+    ~loopback_listener() { close(); }
+    loopback_listener(const loopback_listener&) = delete;
+    loopback_listener& operator=(const loopback_listener&) = delete;
+
+    /// Connections that wait to be accepted are reset.
+    void close()
+    {
+        if (fd_ >= 0) {
+            ::close(fd_);
+            fd_ = -1;
+        }
+    }
+    /// Accepts those that wait and closes them. Returns how many.
+    std::size_t accept_and_close() const
+    {
+        std::size_t out = 0;
+        for (int fd = ::accept(fd_, nullptr, nullptr); fd >= 0;
+             fd = ::accept(fd_, nullptr, nullptr)) {
+            ::close(fd);
+            ++out;
+        }
+        return out;
+    }
+    [[nodiscard]] net::endpoint address() const { return {htonl(INADDR_LOOPBACK), port_}; }
+
+private:
+    int fd_;
+    std::uint16_t port_ = 0;
+};
+
+/// Runs the main loop until nothing is left to do.
+inline void turn_main_loop()
+{
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+}
+
+} // namespace hickorypost::testing
