--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -12,7 +12,7 @@
 
 enum class rollout_phase : std::uint8_t { running, completed, rolled_back };
 
-/// A service's traffic on its way to a new version of its backend servers.
+/// A roll-out: a service's traffic moves to a new version of its backend servers.
 struct rollout_status {
     std::string service;
     std::string target;            ///< the new version
@@ -30,7 +30,7 @@
     std::string incumbent;
 };
 
-/// What operators were told is accepted: the newest configuration and the roll-outs.
+/// What operators' orders have changed and was acknowledged: configuration, roll-outs, versions.
 struct site_state {
     std::uint64_t config_version = 0;
     std::string config_packed;                        ///< byte for byte as it came, packed
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -30,12 +30,12 @@
     /// From the sending of the attempt that gave it until its first event, or the whole of a plain
     /// answer. What other attempts took before says nothing of this version.
     micros took{0};
-    /// Milliseconds that reading its prompt is reckoned to take; 0: it has none.
+    /// Estimated prefill time in milliseconds; 0: it has no prompt.
     double reading_ms = 0;
 };
 
-/// One process's side of roll-outs: which versions of a service may get a request, and what they
-/// made of it. Sans I/O.
+/// One process's side of roll-outs: which versions of a service may get a request, and how
+/// they answered it. Performs no I/O itself.
 class rollout_view {
 public:
     /// `session_memory`: how long after a request the next one belongs to the same session.
@@ -81,7 +81,7 @@
     struct session_mark {
         std::string version;
         instant used;
-        instant shared; ///< when other processes were last told to keep it there
+        instant shared; ///< when it was last broadcast
     };
     using session_map = std::unordered_map<std::uint64_t, session_mark>;
     struct service_view {
@@ -89,9 +89,10 @@
         bool known = false;
         service_versions versions;
         std::map<std::string, version_tally> tallies; ///< by version, since the last report
-        /// The incumbent's running mean of time over reckoned time, by route and model.
+        /// Running mean of the old version's time to the first event over the estimated prefill
+        /// time, by route and model.
         std::map<std::pair<std::string, std::string>, double> old_pace;
-        /// The incumbent's slowest quarter begins there, by what is alike; microseconds.
+        /// Upper quartile of the old version's pace in microseconds, by what is compared.
         std::map<std::string, running_quantile> old_quartile;
         instant trial_from;       ///< the trial's share applies from then on in this process
         std::uint32_t streak = 0; ///< bad answers of the new version lately
@@ -101,7 +102,7 @@
         instant clean_due;
     };
 
-    /// On trial, or returned from: gets no request but by its trial's share.
+    /// On trial, or returned: gets requests by its trial's share only.
     [[nodiscard]] static bool is_withheld(const service_view& it, const std::string& version);
     [[nodiscard]] bool wants_target(const service_view& it, std::uint64_t session, instant now);
     [[nodiscard]] bool is_pinned(std::uint64_t session, instant now) const;
@@ -114,7 +115,7 @@
     random_fn random_;
     millis session_memory_;
     std::map<std::string, service_view> services_;
-    /// Sessions on an old version elsewhere, and when that was last told.
+    /// Sessions on an old version at other processes, and when that was last received.
     std::unordered_map<std::uint64_t, instant> pinned_;
 };
 
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -57,7 +57,7 @@
 bool control_state::begin_rollout(const rollout_status& order)
 {
     const auto known = state_.rollouts.find(order.service);
-    // The same order again, because its acknowledgement was lost: what it began goes on.
+    // A retry of the same order, whose acknowledgement was lost.
     if (known != state_.rollouts.end() && known->second.target == order.target) {
         return false;
     }
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -22,7 +22,7 @@
 /// Bad versions are several times slower.
 constexpr double noticed_factor = 1.25;
 constexpr double noticed_us = 2000;
-/// Below, answers take the same time whatever the prompt: the way and one step of the engine.
+/// Estimated prefill times below this do not show: the network and one engine step take as long.
 constexpr double least_reckoned_ms = 20;
 constexpr double micros_per_milli = 1000;
 /// Bad answers of the new version, less good ones, after which this process stops using it without
@@ -259,8 +259,7 @@
         return;
     }
     const double ms = static_cast<double>(answer.took.count()) / micros_per_milli;
-    // Long prompts and large models take many times as long as short and small ones. Compared as
-    // they are, a good version that met a few of them was sent back.
+    // Long prompts and large models take many times as long as short and small ones.
     const double reckoned = std::max(least_reckoned_ms, answer.reading_ms);
     double& pace = it.old_pace[{answer.route, answer.model}];
     bool bad = answer.failed;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-/// Turn of the feed: attachments, heartbeats to be passed on, whole reports of work.
+/// Period of attachments, relayed heartbeats and whole load reports.
 constexpr millis turn_period{100};
 /// Heartbeats without news are gathered for this many turns.
 constexpr std::uint64_t turns_per_touch = 5;
 constexpr millis expire_period{2000};
-/// Hosts with a disk that another host is attached to. With one, word of a backend server's leaving
-/// would be lost while a new one is sought: it must be known everywhere within two seconds.
+/// Hosts with a disk that another host is attached to. With one, notices of backend servers that
+/// leave would be lost while it is replaced; they must reach all hosts within two seconds.
 constexpr std::size_t wanted_attachments = 2;
 
 } // namespace
@@ -38,7 +38,7 @@
 {
     std::vector<node_id> out;
     if (!has_disk_) {
-        // What came from elsewhere came by way of the core, which has told everyone.
+        // Messages from other hosts came through the core, which has broadcast them.
         return from == mesh_.self() ? around_.to_here : out;
     }
     const bool from_core = from != mesh_.self() && mesh_.is_core(from);
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -22,7 +22,7 @@
 };
 
 /// One gateway host's part of the control log: a replica of it where there is a disk, and on all
-/// hosts the way to the leader and the newest state known.
+/// hosts the orders to the leader and the newest state known.
 class control_plane {
 public:
     enum class order_status : std::uint8_t { done, unavailable };
@@ -54,7 +54,7 @@
     [[nodiscard]] bool synced() const noexcept { return synced_; }
     /// So short after the start that contact may not be there yet.
     [[nodiscard]] bool starting() const;
-    /// In contact with the core: what is told to this host reaches the others.
+    /// In contact with the core: what this host receives reaches the others.
     [[nodiscard]] bool connected() const;
     [[nodiscard]] std::size_t hosts() const noexcept;
     /// Whether a host with a disk said lately that it knows the leader.
@@ -105,7 +105,7 @@
     std::unique_ptr<storage::posix_file_system> fs_;
     std::unique_ptr<replog::sync_task> disk_;
     std::unique_ptr<replog::group> group_;
-    std::uint64_t disk_life_ = 0; ///< tells completions of an earlier opening
+    std::uint64_t disk_life_ = 0; ///< distinguishes completions of earlier openings
     instant reopen_due_;
 
     gateway::site_state state_;
