[gateway] A connection that is reset before it is seen to be open is not an accepted one

Cause: a server that ends resets connections that wait to be accepted. Where the reset comes before the event loop has seen the connection open, the dial counted as accepted, without the 40 ms.

Evidence, a traced run of the listed test (1 of 39, three at a time beside busy loops), 30 ms after the attempt was sent, which is when the engine ends:

15:04:41.467 crash_checked backend i-e4 connection refused 15:04:41.497 crash_checked backend i-e14 connection accepted 15:04:41.497 request_ended request c backend i-e14 status 502

Such a connection is now followed by another one, three at most, like one that is closed while open. backend_dial_suite/server_that_resets_before_the_connection_is_seen_refuses fails on the code before.

--- a/src/gateway/backend_dial.cpp
+++ b/src/gateway/backend_dial.cpp
@@ -34,20 +34,17 @@
         return;
     }
     ++connects_;
-    connected_ = false;
     stream_ = net::tcp_stream::connect(poller_, *to_, silence_limit);
     net::tcp_stream::hooks hooks;
-    hooks.connected = [this] {
-        connected_ = true;
-        finish(false, accepted_for);
-    };
+    hooks.connected = [this] { finish(false, accepted_for); };
     hooks.ended = [this](net::stream_end how) { ended(how); };
     stream_->set_hooks(std::move(hooks));
 }
 
 void backend_dial::ended(net::stream_end how)
 {
-    if (connected_ && connects_ < max_connects) {
+    // A reset may come before the connection is seen to be open.
+    if (how != net::stream_end::refused && connects_ < max_connects) {
         call_later(millis{0}, [this] { connect(); });
         return;
     }
--- a/src/gateway/backend_dial.h
+++ b/src/gateway/backend_dial.h
@@ -34,7 +34,6 @@
     std::function<void(bool refused)> done_;
     std::unique_ptr<net::tcp_stream> stream_;
     std::uint64_t timer_ = 0;
-    bool connected_ = false;
     std::uint32_t connects_ = 0;
 };
 
--- a/tests/gateway/backend_dial_test.cpp
+++ b/tests/gateway/backend_dial_test.cpp
@@ -45,6 +45,17 @@
     BOOST_TEST(*it.refused);
 }
 
+// Guards against missing a crash whose reset comes before the connection is seen to be open.
+BOOST_AUTO_TEST_CASE(server_that_resets_before_the_connection_is_seen_refuses)
+{
+    one_dial it;
+    it.server.close();
+    it.run_for(millis{0});
+    it.run_for(millis{0});
+    BOOST_REQUIRE(it.refused.has_value());
+    BOOST_TEST(*it.refused);
+}
+
 // Guards against taking a live server for one that has ended.
 BOOST_AUTO_TEST_CASE(server_that_keeps_the_connection_accepts)
 {
