--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -149,7 +149,7 @@
             }
         }
     }
-    for (const auto& [session, told] : pinned_) {
+    for (const auto& [session, received] : pinned_) {
         if (is_pinned(session, now)) {
             out.push_back(session);
         }
--- a/modules/gateway/tests/exchange_limits_test.cpp
+++ b/modules/gateway/tests/exchange_limits_test.cpp
@@ -42,7 +42,7 @@
     BOOST_TEST(it.backends.attempts.size() == 1U);
 }
 
-// Guards against a rejection while the permit that was asked for is on its way.
+// Guards against a rejection while a permit request is in flight.
 BOOST_AUTO_TEST_CASE(request_waits_for_the_reply_to_its_permit_request)
 {
     one_gateway it;
--- a/modules/gateway/tests/rollout_view_test.cpp
+++ b/modules/gateway/tests/rollout_view_test.cpp
@@ -327,7 +327,7 @@
     two.view.pin(one.view.pinned_sessions(one.now), two.now);
     two.now += millis{1000};
     BOOST_TEST(two.moved("llm") == 0U);
-    // It passes on what it was told to hosts that join after it.
+    // It relays the pins that it received to hosts that join after it.
     late_host three{one};
     three.view.pin(two.view.pinned_sessions(two.now), three.now);
     three.now += millis{1000};
