[gateway] Limits requests to backend servers that warm up

Cause: nothing bounded what all hosts together send to a cold backend server. Its cost rose by 25 ms only, and an engine without load looks best to all hosts at once: 24 to 29 requests in a second where 23 are allowed. Hosts also kept the warm-up time of the first heartbeat, as later ones reach them by their sequence only.

Change: the service's ColdStartS and ColdPerS are read, and a backend server that is cold has a limit as if it had stated one, with permits by the coordinator. Without a coordinator it gets nothing. The end of a warm-up is kept as a time, changes of it are forwarded, and records for a host that connects carry what is left.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -26,7 +26,7 @@
     std::string version; ///< software version
     std::uint32_t slots = 1;
     backend_state state = backend_state::ready;
-    std::uint64_t cold_ms = 0;  ///< remaining warm-up time after the start
+    std::uint64_t cold_ms = 0;  ///< remaining warm-up time when the record was sent
     std::uint64_t sequence = 0; ///< increases with each heartbeat of an incarnation
     std::string name;           ///< name of the backend server; may stay the same over restarts
     std::uint64_t born = 0;     ///< start time in Unix milliseconds; 0 if unknown
@@ -56,6 +56,9 @@
     /// Failure domains in which a backend server must have failed a probe before processes in other
     /// domains avoid it too. A single domain may be partitioned from it.
     std::size_t min_failed_domains = 2;
+    /// Smallest change of the end of a warm-up that is forwarded to other processes. Larger than
+    /// the variation of a heartbeat's time on its way.
+    millis min_cold_change{300};
 };
 
 /// A backend server in the directory.
@@ -65,6 +68,9 @@
     bool replaced = false; ///< another incarnation has since taken its address
     std::uint32_t heartbeats_since_replaced = 0;
     bool silent = false; ///< result of the last `expire`
+    instant cold_until;  ///< end of the warm-up, as stated by heartbeats
+    /// End of a warm-up that no heartbeat has stated yet, see `assume_cold`.
+    instant assumed_cold_until;
     /// Failure domains in which a liveness probe has failed since the newest heartbeat.
     std::set<std::string, std::less<>> failed_domains;
     /// Newest heartbeat known at the time of these probes.
@@ -129,7 +135,24 @@
                it.failed_domains.size() >= settings_.min_failed_domains;
     }
     /// All records, including tombstones, to initialize the directory of another process.
-    [[nodiscard]] std::vector<backend_record> all() const;
+    [[nodiscard]] std::vector<backend_record> all(instant now) const;
+
+    /// Sets the failure domains whose backend servers get no new work. Returns those that were
+    /// evacuated until now and are no longer.
+    std::vector<std::string> set_evacuated(std::vector<std::string> domains);
+    [[nodiscard]] bool is_evacuated(std::string_view domain) const;
+    /// Whether the service has backend servers, all of which are in evacuated failure domains.
+    [[nodiscard]] bool is_fully_evacuated(std::string_view service) const;
+    /// Whether a failure domain has at least one known backend server.
+    [[nodiscard]] bool has_backends_in(std::string_view domain) const;
+    /// Considers the service's backend servers in a failure domain cold until `until`. They may
+    /// have become cold since their last heartbeats.
+    void assume_cold(std::string_view domain, std::string_view service, instant until);
+    /// Whether the backend server is warming up.
+    [[nodiscard]] static bool is_cold(const backend_entry& it, instant now)
+    {
+        return now < it.cold_until || now < it.assumed_cold_until;
+    }
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
 private:
@@ -172,6 +195,7 @@
     std::map<std::string, known_start, std::less<>> newest_starts_;   ///< by name
     std::map<std::string, std::string, std::less<>> address_holders_; ///< incarnation by address
     std::vector<std::string> superseded_;
+    std::vector<std::string> evacuated_domains_;
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/include/hickorypost/gateway/backend_limits.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_limits.h
@@ -72,11 +72,12 @@
     std::size_t max_requests_per_message = 8;
 };
 
-/// The rate limits that backend servers state in their responses, and this host's permits to send
-/// to them. Performs no I/O itself.
+/// The rate limits of backend servers, and this host's permits to send to them: limits that backend
+/// servers state in their responses, and temporary ones while they warm up. Performs no I/O itself.
 ///
 /// A limit applies to all hosts together, so one coordinating host grants permits to all. A host
-/// that gets no replies from the coordinator sends at less than its equal share.
+/// that gets no replies from the coordinator sends at less than its equal share, and nothing to a
+/// backend server that warms up: one request of each host may be more than it accepts in a second.
 class backend_limits {
 public:
     /// Called, at a bounded rate, for limits stated to this host that must be announced to others.
@@ -98,12 +99,17 @@
     };
     /// Applies an announcement by another host; an empty `limit` announces the end of the limit.
     announcement take(const std::string& backend, std::optional<double> limit);
-    /// Drops the limit of a backend server without notification.
+    /// Limits a backend server until its warm-up ends. A limit that it states itself stays in
+    /// force.
+    void set_warm_up(const std::string& backend, double per_second, instant until);
+    /// Drops the limits of a backend server without notification.
     void forget(std::string_view backend);
-    /// Drops limits that no response has stated for `limit_settings::lifetime`.
+    /// Drops limits that no response has stated for `limit_settings::lifetime`, and those of
+    /// warm-ups that have ended.
     void expire();
 
     [[nodiscard]] bool empty() const noexcept { return entries_.empty(); }
+    /// The limit that the backend server has stated; empty if there is none.
     [[nodiscard]] std::optional<double> limit_of(std::string_view backend) const;
     /// Whether a request of this priority may be sent to the backend server now.
     [[nodiscard]] bool has_room(std::string_view backend, int priority) const;
@@ -119,13 +125,15 @@
     [[nodiscard]] millis room_in(std::span<const std::string> backends) const;
     /// Returns the permit requests to send now, by priority, then the least recently sent first.
     std::vector<permit_request> take_requests();
-    /// All limits in requests per second, to initialize another host.
+    /// All stated limits in requests per second, to initialize another host.
     [[nodiscard]] std::map<std::string, double> all() const;
 
 private:
     struct entry {
-        double per_second = 0;
-        instant confirmed_at;            ///< last stated by a response to any host
+        std::optional<double> stated;  ///< requests per second; empty: no stated limit
+        instant confirmed_at;          ///< last stated by a response to any host
+        double warm_up_per_second = 0; ///< applies until `warm_up_until`
+        instant warm_up_until;
         std::optional<double> announced; ///< last value announced to other hosts
         instant announced_at;
         std::vector<instant> permits;        ///< times of grant, oldest first
@@ -137,10 +145,15 @@
         std::uint64_t sent = 0;
     };
 
+    [[nodiscard]] bool is_warming_up(const entry& it) const;
+    /// The lowest limit in force, in requests per second; empty if there is none.
+    [[nodiscard]] std::optional<double> effective_limit(const entry& it) const;
     /// Whether the coordinator does not reply and the next request without a permit is due.
     [[nodiscard]] bool may_send_uncoordinated(const entry& it) const;
-    /// Creates or updates the entry of a limited backend server.
+    /// Creates or updates the stated limit of a backend server.
     void set_limit(const std::string& backend, double per_second);
+    /// Removes the stated limit; drops the entry unless the backend server warms up.
+    void clear_limit(std::string_view backend);
 
     limit_settings settings_;
     clock_fn now_;
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -59,6 +59,8 @@
     /// retry all at once.
     millis min_retry_after{150};
     millis retry_after_jitter{450};
+    /// Retry-After, before the random part, while all backend servers of a service are evacuated.
+    millis evacuated_retry_after{1000};
 };
 
 /// How a request ended, for logs, metrics and the report.
@@ -194,6 +196,9 @@
     void request_permits();
     /// Whether a backend server that has not been tried, other than `except`, has room.
     bool has_room_elsewhere(std::string_view except);
+    /// Backend servers of the request's service that may get work, those that warm up limited to
+    /// the rate of the configuration.
+    std::vector<const backend_entry*> usable_backends();
     /// Polls for a permit. False if the request has waited long enough.
     bool wait_for_permit();
     void reject_for_limits();
--- a/modules/gateway/include/hickorypost/gateway/site_config.h
+++ b/modules/gateway/include/hickorypost/gateway/site_config.h
@@ -58,6 +58,10 @@
     std::string health_path;
     std::uint32_t max_connections = 0; ///< of one backend server, from all callers together
     std::optional<engine_spec> engine;
+    millis cold_start{0}; ///< warm-up time of a backend server
+    /// Requests per second, from all hosts together, that a backend server accepts while it warms
+    /// up; 0: no limit.
+    double cold_per_second = 0;
 };
 
 struct account_spec {
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -45,9 +45,15 @@
     // Draining is final within an incarnation; an earlier heartbeat that arrives over another path
     // must not direct work to the backend server again.
     const bool is_draining = !is_new && it.record.state == backend_state::draining;
+    const instant cold_until = now + millis{static_cast<std::int64_t>(record.cold_ms)};
+    const micros cold_change = std::max(cold_until, now) - std::max(it.cold_until, now);
+    const bool cold_differs = std::chrono::abs(cold_change) > settings_.min_cold_change;
     const bool differs = is_new || it.record.state != record.state ||
                          it.record.address != record.address || it.record.slots != record.slots ||
-                         it.record.version != record.version;
+                         it.record.version != record.version || cold_differs;
+    if (is_new || cold_differs) {
+        it.cold_until = cold_until;
+    }
     it.record = record;
     it.record.name = name_of(record);
     if (is_draining) {
@@ -256,7 +262,7 @@
     std::vector<const backend_entry*> silent;
     for (const auto& [id, it] : entries_) {
         if (it.record.service != service || it.record.state != backend_state::ready ||
-            it.replaced) {
+            it.replaced || is_evacuated(it.record.failure_domain)) {
             continue;
         }
         (stale(it, now) ? silent : fresh).push_back(&it);
@@ -265,12 +271,14 @@
     return fresh.empty() ? silent : fresh;
 }
 
-std::vector<backend_record> backend_directory::all() const
+std::vector<backend_record> backend_directory::all(instant now) const
 {
     std::vector<backend_record> out;
     out.reserve(entries_.size() + tombstones_.size());
     for (const auto& [id, it] : entries_) {
-        out.push_back(it.record);
+        auto& record = out.emplace_back(it.record);
+        const instant cold_until = std::max({it.cold_until, it.assumed_cold_until, now});
+        record.cold_ms = static_cast<std::uint64_t>(to_millis(cold_until - now));
     }
     for (const auto& [id, it] : tombstones_) {
         backend_record gone;
@@ -281,4 +289,47 @@
     return out;
 }
 
+std::vector<std::string> backend_directory::set_evacuated(std::vector<std::string> domains)
+{
+    std::vector<std::string> ended = std::exchange(evacuated_domains_, std::move(domains));
+    std::erase_if(ended, [this](const auto& it) { return is_evacuated(it); });
+    return ended;
+}
+
+bool backend_directory::is_evacuated(std::string_view domain) const
+{
+    return std::find(evacuated_domains_.begin(), evacuated_domains_.end(), domain) !=
+           evacuated_domains_.end();
+}
+
+bool backend_directory::is_fully_evacuated(std::string_view service) const
+{
+    bool out = false;
+    for (const auto& [id, it] : entries_) {
+        if (it.record.service == service && it.record.state == backend_state::ready) {
+            if (!is_evacuated(it.record.failure_domain)) {
+                return false;
+            }
+            out = true;
+        }
+    }
+    return out;
+}
+
+bool backend_directory::has_backends_in(std::string_view domain) const
+{
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [&](const auto& it) { return it.second.record.failure_domain == domain; });
+}
+
+void backend_directory::assume_cold(std::string_view domain, std::string_view service,
+                                    instant until)
+{
+    for (auto& [id, it] : entries_) {
+        if (it.record.failure_domain == domain && it.record.service == service) {
+            it.assumed_cold_until = std::max(it.assumed_cold_until, until);
+        }
+    }
+}
+
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/backend_limits.cpp
+++ b/modules/gateway/src/backend_limits.cpp
@@ -18,13 +18,45 @@
 void backend_limits::set_limit(const std::string& backend, double per_second)
 {
     const instant now = now_();
-    const auto [at, is_new] = entries_.try_emplace(backend);
-    entry& it = at->second;
-    it.per_second = per_second;
-    it.confirmed_at = now;
-    if (is_new) {
+    entry& it = entries_[backend];
+    if (!it.stated) {
         it.uncoordinated_due = now;
     }
+    it.stated = per_second;
+    it.confirmed_at = now;
+}
+
+void backend_limits::clear_limit(std::string_view backend)
+{
+    const auto found = entries_.find(backend);
+    if (found == entries_.end()) {
+        return;
+    }
+    found->second.stated.reset();
+    found->second.announced.reset();
+    if (!is_warming_up(found->second)) {
+        entries_.erase(found);
+    }
+}
+
+void backend_limits::set_warm_up(const std::string& backend, double per_second, instant until)
+{
+    entry& it = entries_[backend];
+    it.warm_up_per_second = per_second;
+    it.warm_up_until = until;
+}
+
+bool backend_limits::is_warming_up(const entry& it) const
+{
+    return now_() < it.warm_up_until;
+}
+
+std::optional<double> backend_limits::effective_limit(const entry& it) const
+{
+    if (!is_warming_up(it)) {
+        return it.stated;
+    }
+    return it.stated ? std::min(*it.stated, it.warm_up_per_second) : it.warm_up_per_second;
 }
 
 void backend_limits::saw(const std::string& backend, const limit_statement& statement)
@@ -37,9 +69,9 @@
         return;
     }
     if (statement.kind == limit_statement::kind_type::none) {
-        if (const auto found = entries_.find(backend); found != entries_.end()) {
-            const limit_change change{backend, std::nullopt, found->second.sent};
-            entries_.erase(found);
+        if (limit_of(backend)) {
+            const limit_change change{backend, std::nullopt, entries_.at(backend).sent};
+            clear_limit(backend);
             changed_(change);
         }
         return;
@@ -47,14 +79,14 @@
     set_limit(backend, statement.per_second);
     entry& it = entries_.at(backend);
     const instant now = now_();
-    const bool differs = !it.announced || std::abs(*it.announced - it.per_second) >
-                                              settings_.min_announced_change *
-                                                  std::max(*it.announced, it.per_second);
+    const bool differs =
+        !it.announced || std::abs(*it.announced - *it.stated) >
+                             settings_.min_announced_change * std::max(*it.announced, *it.stated);
     const millis interval = differs ? settings_.min_announce_interval : settings_.refresh_interval;
     if (!it.announced || now >= it.announced_at + interval) {
-        it.announced = it.per_second;
+        it.announced = it.stated;
         it.announced_at = now;
-        changed_({backend, it.per_second, it.sent});
+        changed_({backend, it.stated, it.sent});
     }
 }
 
@@ -74,8 +106,8 @@
         entry& it = entries_.at(backend);
         it.announced = limit;
         it.announced_at = now_();
-    } else if (known) {
-        entries_.erase(found);
+    } else {
+        clear_limit(backend);
     }
     return {changed || is_refresh,
             changed ? std::optional{limit_change{backend, limit, sent}} : std::nullopt};
@@ -91,28 +123,31 @@
 void backend_limits::expire()
 {
     const instant now = now_();
-    std::erase_if(entries_, [&](const auto& it) {
-        return now > it.second.confirmed_at + settings_.lifetime;
-    });
+    for (auto& [backend, it] : entries_) {
+        if (now > it.confirmed_at + settings_.lifetime) {
+            it.stated.reset();
+        }
+    }
+    std::erase_if(entries_, [&](const auto& it) { return !effective_limit(it.second); });
 }
 
 std::optional<double> backend_limits::limit_of(std::string_view backend) const
 {
     const auto found = entries_.find(backend);
-    return found == entries_.end() ? std::nullopt : std::optional{found->second.per_second};
+    return found == entries_.end() ? std::nullopt : found->second.stated;
 }
 
 bool backend_limits::may_send_uncoordinated(const entry& it) const
 {
     const instant now = now_();
-    return it.no_reply_since && now > *it.no_reply_since + settings_.reply_timeout &&
-           now >= it.uncoordinated_due;
+    return !is_warming_up(it) && it.no_reply_since &&
+           now > *it.no_reply_since + settings_.reply_timeout && now >= it.uncoordinated_due;
 }
 
 bool backend_limits::has_room(std::string_view backend, int priority) const
 {
     const auto found = entries_.find(backend);
-    if (found == entries_.end()) {
+    if (found == entries_.end() || !effective_limit(found->second)) {
         return true;
     }
     const instant now = now_();
@@ -141,8 +176,11 @@
         it.permits.erase(it.permits.begin());
         return;
     }
+    if (!it.stated) {
+        return; // the warm-up has ended since the permit was granted
+    }
     constexpr double micros_per_second = 1e6;
-    const double share = settings_.uncoordinated_share * it.per_second /
+    const double share = settings_.uncoordinated_share * *it.stated /
                          static_cast<double>(std::max<std::size_t>(1, hosts_()));
     const double gap = std::min(micros_per_second / std::max(share, 1e-9),
                                 static_cast<double>(micros{settings_.lifetime}.count()));
@@ -194,18 +232,21 @@
     micros out = settings_.lifetime;
     for (const auto& backend : backends) {
         const auto found = entries_.find(backend);
-        if (found == entries_.end()) {
+        const auto limit = found == entries_.end() ? std::nullopt : effective_limit(found->second);
+        if (!limit) {
             return millis{0}; // the limit has ended
         }
         const entry& it = found->second;
         // Without a reply, assume that all hosts are served in rotation.
         constexpr double micros_per_second = 1e6;
         constexpr double min_per_second = 1e-3;
-        const double rotation_us = micros_per_second * static_cast<double>(hosts_()) /
-                                   std::max(it.per_second, min_per_second);
-        const micros known = it.expected_permit_at > now
-                                 ? it.expected_permit_at - now
-                                 : micros{static_cast<std::int64_t>(rotation_us)};
+        const double rotation_us =
+            micros_per_second * static_cast<double>(hosts_()) / std::max(*limit, min_per_second);
+        micros known = it.expected_permit_at > now ? it.expected_permit_at - now
+                                                   : micros{static_cast<std::int64_t>(rotation_us)};
+        if (!it.stated) {
+            known = std::min(known, it.warm_up_until - now);
+        }
         out = std::min(out, known);
     }
     return std::chrono::duration_cast<millis>(out);
@@ -216,7 +257,8 @@
     const instant now = now_();
     std::vector<std::pair<const std::string*, entry*>> due;
     for (auto& [backend, it] : entries_) {
-        if (it.pending_priority && now >= it.requested_at + settings_.request_retry_interval) {
+        if (it.pending_priority && effective_limit(it) &&
+            now >= it.requested_at + settings_.request_retry_interval) {
             due.emplace_back(&backend, &it);
         }
     }
@@ -228,7 +270,7 @@
     due.resize(std::min(due.size(), settings_.max_requests_per_message));
     std::vector<permit_request> out;
     for (const auto& [backend, it] : due) {
-        out.push_back({*backend, it->per_second, *it->pending_priority});
+        out.push_back({*backend, *effective_limit(*it), *it->pending_priority});
         it->requested_at = now;
         it->pending_priority.reset();
         if (!it->no_reply_since) {
@@ -242,7 +284,9 @@
 {
     std::map<std::string, double> out;
     for (const auto& [backend, it] : entries_) {
-        out.emplace(backend, it.per_second);
+        if (it.stated) {
+            out.emplace(backend, *it.stated);
+        }
     }
     return out;
 }
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -195,7 +195,7 @@
         reject_as_crashing();
         return;
     }
-    auto candidates = services_.directory.usable(record_.service, now);
+    auto candidates = usable_backends();
     services_.rollouts.choose_version(record_.service, request_.session, candidates, now);
     record_.candidates = static_cast<std::uint32_t>(candidates.size());
     job_size job = current_job();
@@ -208,6 +208,11 @@
         }
         return;
     }
+    if (to == nullptr && services_.directory.is_fully_evacuated(record_.service)) {
+        retry_after_ = services_.settings.evacuated_retry_after;
+        abort("the failure domains of all backend servers are evacuated");
+        return;
+    }
     if (to == nullptr && candidates.empty() && wait_for_backends()) {
         return;
     }
--- a/modules/gateway/src/exchange_limits.cpp
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -1,4 +1,5 @@
-/// Request lifecycle, part five: backend servers that limit how many requests they accept.
+/// Request lifecycle, part five: backend servers that limit how many requests they accept, always
+/// or while they warm up.
 
 #include "hickorypost/gateway/exchange.h"
 
@@ -11,6 +12,21 @@
     return account_ != nullptr && account_->priority ? *account_->priority : route_.priority;
 }
 
+std::vector<const backend_entry*> exchange::usable_backends()
+{
+    const instant now = services_.now();
+    auto out = services_.directory.usable(record_.service, now);
+    if (service_ != nullptr && service_->cold_per_second > 0) {
+        for (const auto* const it : out) {
+            if (backend_directory::is_cold(*it, now)) {
+                services_.limits.set_warm_up(it->record.id, service_->cold_per_second,
+                                             std::max(it->cold_until, it->assumed_cold_until));
+            }
+        }
+    }
+    return out;
+}
+
 const backend_entry* exchange::choose(std::vector<const backend_entry*>& candidates,
                                       const job_size& job)
 {
@@ -53,7 +69,7 @@
         return true;
     }
     limited_backends_.clear();
-    for (const auto* const it : services_.directory.usable(record_.service, services_.now())) {
+    for (const auto* const it : usable_backends()) {
         const bool tried = std::find(tried_backends_.begin(), tried_backends_.end(),
                                      it->record.id) != tried_backends_.end();
         if (tried || it->record.id == except) {
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -135,7 +135,7 @@
     out += job.suspect ? running * settings_.suspect_concurrency_ms : 0;
     out += failure_cost_ms * std::max(0.0, decayed_failure_ratio(load, now) - base.failures -
                                                settings_.failure_margin);
-    out += static_cast<double>(it.record.cold_ms) > 0 ? settings_.service_ms : 0;
+    out += backend_directory::is_cold(it, now) ? settings_.service_ms : 0;
     if (now < load.probation_until || now < load.saturated_until) {
         out += unavailable_cost_ms;
     }
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -202,7 +202,7 @@
 void backend_feed::send_full_state(const node_id& to)
 {
     wire::backend_update update;
-    for (const auto& record : directory_.all()) {
+    for (const auto& record : directory_.all(env_.now())) {
         update.records.push_back(wire::encode(record));
     }
     mesh_.send(to, update);
