[gateway] Evacuates failure domains

Hosts act on the state that they follow: the directory leaves out the domain, for first attempts, retries, escalations and resumed streams; running answers end. After the end the domain's backend servers count as cold for their service's warm-up time, as they may have become so without a heartbeat yet. A call whose operator has left by the time it is read (a host that was suspended) is dropped, so that it cannot undo a later one. A replica of an earlier release would skip these entries, so they are refused while a linked host with a disk runs one.

--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -40,9 +40,17 @@
     std::map<std::string, rollout_status> rollouts;   ///< by service
     std::uint64_t revision = 0;                       ///< incremented with each change
     std::map<std::string, service_versions> versions; ///< by service
+    std::vector<std::string> evacuated_domains;       ///< sorted; see `begin_evacuation`
 };
 
-enum class control_kind : std::uint8_t { put_config, begin_rollout, step_rollout, set_incumbent };
+enum class control_kind : std::uint8_t {
+    put_config,
+    begin_rollout,
+    step_rollout,
+    set_incumbent,
+    begin_evacuation, ///< backend servers in a failure domain get no further requests
+    end_evacuation,
+};
 
 /// The incumbent that a service has before its first roll-out.
 struct initial_version {
@@ -57,6 +65,7 @@
     std::string config_packed;
     rollout_status rollout;
     initial_version incumbent;
+    std::string failure_domain; ///< of an evacuation
 };
 
 /// State machine of the control log. The highest configuration version wins whatever the order of
@@ -79,6 +88,8 @@
     bool begin_rollout(const rollout_status& status);
     bool step_rollout(const rollout_status& step);
     bool set_incumbent(const initial_version& initial);
+    bool begin_evacuation(const std::string& domain);
+    bool end_evacuation(const std::string& domain);
     void add_rolled_back(const rollout_status& rollout);
 
     site_state state_;
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -126,6 +126,8 @@
     virtual void break_off() = 0;
     /// Bytes that the caller's connection has not accepted yet.
     [[nodiscard]] virtual std::size_t unsent() const = 0;
+    /// Whether the connection has ended, so that no answer can be delivered.
+    [[nodiscard]] virtual bool is_closed() const = 0;
 };
 
 namespace detail {
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -37,6 +37,12 @@
     case control_kind::set_incumbent:
         changed = set_incumbent(decoded->incumbent);
         break;
+    case control_kind::begin_evacuation:
+        changed = begin_evacuation(decoded->failure_domain);
+        break;
+    case control_kind::end_evacuation:
+        changed = end_evacuation(decoded->failure_domain);
+        break;
     }
     if (changed) {
         ++state_.revision;
@@ -111,6 +117,22 @@
     return true;
 }
 
+bool control_state::begin_evacuation(const std::string& domain)
+{
+    auto& domains = state_.evacuated_domains;
+    const auto at = std::lower_bound(domains.begin(), domains.end(), domain);
+    if (at != domains.end() && *at == domain) {
+        return false; // a retry of a command whose acknowledgement was lost
+    }
+    domains.insert(at, domain);
+    return true;
+}
+
+bool control_state::end_evacuation(const std::string& domain)
+{
+    return std::erase(state_.evacuated_domains, domain) > 0;
+}
+
 std::string control_state::read(std::string_view query) const
 {
     const auto request = wire::try_decode<wire::site_query>(query);
--- a/modules/gateway/tests/fakes.h
+++ b/modules/gateway/tests/fakes.h
@@ -110,6 +110,7 @@
     void end() override { ended = true; }
     void break_off() override { broken = true; }
     [[nodiscard]] std::size_t unsent() const override { return 0; }
+    [[nodiscard]] bool is_closed() const override { return false; }
 
     unsigned status = 0;
     std::string body;
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -358,6 +358,9 @@
     std::uint64_t term = 0;
     std::uint64_t revision = 0; ///< revision of the sender's copy of the site state
     std::uint32_t hosts = 0;    ///< number of gateway hosts linked to the sender, including itself
+    /// Whether the sender's replica applies evacuations. Releases before them skip such entries of
+    /// the control log.
+    bool applies_evacuations = false;
 };
 
 /// A host without a disk subscribes to updates from the receiver (`on`) or unsubscribes.
--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -28,6 +28,8 @@
 };
 
 constexpr std::int64_t millis_per_second = 1000;
+/// First words of the log lines about the begin and the end of an evacuation.
+constexpr std::string_view evacuation_prefix = "failure domain ";
 
 std::optional<std::int64_t> parse_time(const std::string& text)
 {
@@ -84,7 +86,7 @@
 /// Says the same on all processes at about the same moment.
 bool is_shared(const parsed_line& it)
 {
-    return it.message.starts_with("backend server ") ||
+    return it.message.starts_with("backend server ") || it.message.starts_with(evacuation_prefix) ||
            (it.message.starts_with("configuration ") &&
             it.message.find(" in force") != std::string::npos);
 }
@@ -179,7 +181,8 @@
                 });
             const bool on_limit =
                 it.line.event.starts_with("backend_limit") && backends.contains(it.backend);
-            if ((on_backend || on_limit) && it.line.corrected_ms >= from &&
+            const bool on_domain = it.message.starts_with(evacuation_prefix);
+            if ((on_backend || on_limit || on_domain) && it.line.corrected_ms >= from &&
                 it.line.corrected_ms <= to) {
                 out.push_back(it.line);
             }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -40,6 +40,7 @@
     void end() override;
     void break_off() override;
     [[nodiscard]] std::size_t unsent() const override { return stream_->unsent(); }
+    [[nodiscard]] bool is_closed() const override { return closed_; }
 
     void ready(std::uint32_t) override {}
     /// Runs at the end of the main loop iteration in which an answer was completed; only then the
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -1,6 +1,7 @@
 #include "gateway/control_calls.h"
 
 #include "hickorypost/base/packing.h"
+#include "hickorypost/net/timer.h"
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
 #include "hickorypost/telemetry/event_line.h"
@@ -76,6 +77,12 @@
         return begin_rollout(request);
     case platform::call_kind::get_rollout:
         return get_rollout(call.argument, request);
+    case platform::call_kind::list_evacuations:
+        return list_evacuations(request);
+    case platform::call_kind::begin_evacuation:
+        return change_evacuation(gateway::control_kind::begin_evacuation, call.argument, request);
+    case platform::call_kind::end_evacuation:
+        return change_evacuation(gateway::control_kind::end_evacuation, call.argument, request);
     case platform::call_kind::list_suspects:
         return list_suspects(request);
     case platform::call_kind::clear_suspect:
@@ -259,6 +266,68 @@
     });
 }
 
+void control_calls::list_evacuations(const incoming_request& request)
+{
+    control_.read_newest([caller = request.answer](control_plane::order_status status,
+                                                   const gateway::site_state* state) {
+        if (status != control_plane::order_status::done || state == nullptr) {
+            respond_error(*caller, status_unavailable, "no leader has confirmed the newest state");
+        } else {
+            respond_json(*caller, status_ok,
+                         platform::encode_evacuations(state->evacuated_domains));
+        }
+    });
+}
+
+void control_calls::change_evacuation(gateway::control_kind kind, const std::string& encoded_domain,
+                                      const incoming_request& request)
+{
+    const std::string_view change =
+        kind == gateway::control_kind::begin_evacuation ? "begin" : "end";
+    decode_or_refuse(env_, request, "evacuation", [&]() -> result<void> {
+        BOOST_LEAF_AUTO(domain, platform::decode_domain(encoded_domain));
+        if (!control_.replicas_support_evacuations()) {
+            constexpr std::string_view reason =
+                "a host with a disk runs a release without evacuations";
+            env_.log->warn("evacuation of {} refused: {}", domain, reason);
+            respond_error(*request.answer, status_unavailable, reason);
+            return {};
+        }
+        if (!directory_.has_backends_in(domain)) {
+            env_.log->warn("evacuation of {}: no known backend server is in this failure domain",
+                           domain);
+        }
+        // The call may have waited in the socket while this host was suspended, and the operator
+        // may have sent it, and a later one, to another host since. Its connection is closed then,
+        // which shows in the next iteration of the main loop.
+        net::post(g_main_context_default(), [this, kind, change, domain, caller = request.answer] {
+            if (caller->is_closed()) {
+                env_.log->info("evacuation of {}: the operator has left before {}", domain, change);
+                return;
+            }
+            gateway::control_command command;
+            command.kind = kind;
+            command.failure_domain = domain;
+            control_.commit(
+                command, [this, change, domain, caller](control_plane::order_status status,
+                                                        const gateway::site_state*) {
+                    const bool acknowledged = status == control_plane::order_status::done;
+                    env_.log->info("evacuation of {}: {} {}", domain, change,
+                                   acknowledged
+                                       ? "acknowledged"
+                                       : "not acknowledged by a leader: it may still take effect");
+                    if (acknowledged) {
+                        respond_json(*caller, status_ok, "{}");
+                    } else {
+                        respond_error(*caller, status_unavailable,
+                                      "no leader has acknowledged the command");
+                    }
+                });
+        });
+        return {};
+    });
+}
+
 void control_calls::list_suspects(const incoming_request& request)
 {
     respond_json(*request.answer, status_ok, platform::encode_suspects(crash_ledger_.suspects()));
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -10,8 +10,8 @@
 
 namespace hickorypost {
 
-/// Handles the HTTP calls on the control port: configurations, roll-outs and suspect requests from
-/// operators, heartbeats and leave notices from backend servers.
+/// Handles the HTTP calls on the control port: configurations, roll-outs, evacuations and suspect
+/// requests from operators, heartbeats and leave notices from backend servers.
 class control_calls {
 public:
     /// `is_known_service` returns whether the configuration in force contains the service; true if
@@ -41,6 +41,10 @@
     void get_config(const incoming_request& request);
     void begin_rollout(const incoming_request& request);
     void get_rollout(const std::string& service, const incoming_request& request);
+    void list_evacuations(const incoming_request& request);
+    /// Begins or ends an evacuation, as `kind` says.
+    void change_evacuation(gateway::control_kind kind, const std::string& encoded_domain,
+                           const incoming_request& request);
     void list_suspects(const incoming_request& request);
     void clear_suspect(const std::string& identity, const incoming_request& request);
 
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -184,6 +184,17 @@
     return now_() < started_ + sync_timeout;
 }
 
+bool control_plane::replicas_support_evacuations() const
+{
+    return std::all_of(notes_.begin(), notes_.end(),
+                       [](const auto& it) { return it.second.applies_evacuations; });
+}
+
+node_id control_plane::permit_coordinator() const
+{
+    return leader_ == mesh_.self() && !connected() ? node_id{} : leader_;
+}
+
 bool control_plane::reaches_leader(const node_id& host) const
 {
     const auto it = notes_.find(host);
@@ -321,6 +332,7 @@
     out.term = leader_term_;
     out.revision = state_.revision;
     out.hosts = static_cast<std::uint32_t>(mesh_.linked().size() + 1);
+    out.applies_evacuations = true;
     return out;
 }
 
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -64,10 +64,15 @@
     [[nodiscard]] bool connected() const;
     /// Number of gateway hosts, this one included.
     [[nodiscard]] std::size_t host_count() const noexcept;
+    /// Whether all linked core hosts apply evacuations.
+    [[nodiscard]] bool replicas_support_evacuations() const;
     /// Whether the last note of a core host named a leader.
     [[nodiscard]] bool reaches_leader(const node_id& host) const;
     /// The local replica; null on a host without a disk or while the disk is not usable.
     [[nodiscard]] const replog::group* group() const noexcept { return group_.get(); }
+    /// The host that grants permits, which is the leader: empty if unknown, or if this host leads
+    /// and has lost contact to a quorum.
+    [[nodiscard]] node_id permit_coordinator() const;
     /// The leader as far as known; empty if unknown.
     [[nodiscard]] const node_id& leader() const noexcept { return leader_; }
     /// Whether the local replica leads the control log.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -196,8 +196,8 @@
     };
     backend_feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, crash_ledger_, limits_,
                                                    balancer_, has_disk, std::move(feed_hooks));
-    limit_feed_ =
-        std::make_unique<limit_feed>(env_, *mesh_, limits_, [this] { return control_->leader(); });
+    limit_feed_ = std::make_unique<limit_feed>(env_, *mesh_, limits_,
+                                               [this] { return control_->permit_coordinator(); });
     control_calls_ = std::make_unique<control_calls>(
         env_, *control_, *backend_feed_, directory_, crash_ledger_,
         [this](const std::string& service) {
@@ -333,6 +333,33 @@
     rollouts_.set_versions(state.versions);
     rollouts_.follow(state.rollouts, env_.now());
     backend_feed_->broadcast_pinned_sessions(rollouts_.take_pinned(env_.now()));
+    apply_config(state);
+    apply_evacuations(state);
+}
+
+void gateway_role::apply_evacuations(const gateway::site_state& state)
+{
+    const auto& domains = state.evacuated_domains;
+    for (const auto& domain : domains) {
+        if (!directory_.is_evacuated(domain)) {
+            env_.log->info("failure domain {} is evacuated, revision {}", domain, state.revision);
+        }
+    }
+    for (const auto& domain : directory_.set_evacuated(domains)) {
+        env_.log->info("failure domain {} is no longer evacuated, revision {}", domain,
+                       state.revision);
+        if (!route_table_) {
+            continue;
+        }
+        // Its backend servers may have become cold without traffic, and not have said so yet.
+        for (const auto& service : route_table_->config().services) {
+            directory_.assume_cold(domain, service.name, env_.now() + service.cold_start);
+        }
+    }
+}
+
+void gateway_role::apply_config(const gateway::site_state& state)
+{
     if (state.config_packed.empty() ||
         (route_table_ && state.config_version <= route_table_->config().version)) {
         return;
@@ -483,6 +510,8 @@
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("hosts", static_cast<double>(control_->host_count()));
     metrics.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
+    metrics.set("failure_domains_evacuated",
+                static_cast<double>(control_->state().evacuated_domains.size()));
     metrics.set("site_revision", static_cast<double>(control_->state().revision));
     if (const auto* group = control_->group(); group != nullptr) {
         metrics.set("control_log_term", static_cast<double>(group->core().term()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -63,6 +63,8 @@
     void handle_ready(const incoming_request& request) const;
     void handle_metrics(const incoming_request& request);
     void on_state_changed(const gateway::site_state& state);
+    void apply_config(const gateway::site_state& state);
+    void apply_evacuations(const gateway::site_state& state);
     /// Whether the backend server is expected to end: it is draining or has left, or a completed
     /// roll-out has replaced its version.
     [[nodiscard]] bool shutdown_expected(const gateway::attempt_target& target) const;
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -307,6 +307,12 @@
          "  A refused request is tried again after a minute, and later each time it fails.\n"
          "  Example: hickorypost suspects --control http://10.0.0.4:8080\n",
          run_suspects},
+    verb{"evacuations", "list the evacuated failure domains, begin and end evacuations",
+         "hickorypost evacuations --control URL[,URL...] [--begin DOMAIN | --end DOMAIN]\n"
+         "  Backend servers in an evacuated failure domain get no further requests; requests that\n"
+         "  run there are finished. An acknowledged change survives the loss of all hosts.\n"
+         "  Example: hickorypost evacuations --control http://10.0.0.4:8080 --begin zone-a\n",
+         run_evacuations},
     verb{"submit", "submit new records",
          "hickorypost submit [--change ID] FILE...\n"
          "  Sends record files. Sending the same --change again gets the first answer again.\n"
