[gateway] Keeps an answer if its service has been evacuated meanwhile

Cause, by reading: a stream whose answer was to be replaced by a larger model's, or whose backend server was silent, was cancelled although no backend server of the service may get work any more, and its caller got 502.

Change: no attempt is given up for another one while all failure domains of the service are evacuated. A unit test; also a test that `history` shows evacuations around a request.

--- a/modules/gateway/src/exchange_limits.cpp
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -65,6 +65,9 @@
 bool exchange::has_room_elsewhere(std::string_view except)
 {
     auto& limits = services_.limits;
+    if (services_.directory.is_fully_evacuated(record_.service)) {
+        return false;
+    }
     if (limits.empty()) {
         return true;
     }
--- a/modules/gateway/tests/evacuation_test.cpp
+++ b/modules/gateway/tests/evacuation_test.cpp
@@ -100,6 +100,18 @@
     BOOST_TEST(it.caller.status == 200U);
 }
 
+// Guards against dropping an answer for a larger model that no backend server may run any more.
+BOOST_AUTO_TEST_CASE(answer_is_kept_if_all_domains_are_evacuated_meanwhile)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) { route.models = {"small", "large"}; });
+    it.directory.set_evacuated({"d"});
+    it.answer(200, "fine", true, 0.1);
+    it.complete();
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+    BOOST_TEST(it.caller.status == 200U);
+}
+
 // Guards against requests that wait for a backend server although none may get work.
 BOOST_AUTO_TEST_CASE(request_is_rejected_at_once_if_all_domains_are_evacuated)
 {
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -71,6 +71,18 @@
     BOOST_TEST(found.lines[1].text.find("backend=i-2") != std::string::npos);
 }
 
+// Guards against a request whose backend servers were evacuated, which its history does not show.
+BOOST_AUTO_TEST_CASE(history_shows_evacuations_around_a_request)
+{
+    const std::string log =
+        message("a", "10.000", "failure domain d is evacuated, revision 3") +
+        line("a", "12.300", R"("event":"request_ended","request":"q","outcome":"not_run")") +
+        message("a", "30.000", "failure domain d is no longer evacuated, revision 4");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 2U);
+    BOOST_TEST(found.lines[0].text.find("is evacuated") != std::string::npos);
+}
+
 // Guards against a request whose backend server was limited, which its history does not show.
 BOOST_AUTO_TEST_CASE(history_shows_limits_of_the_backends_of_a_request)
 {
