[gateway] Tells warm-ups in the log lines about backend servers

Cause, by reading: the begin and the end of a warm-up wrote the same line as the start of the backend server, and `history` aligns the clocks of hosts by equal lines.

Change: the line also has the heartbeat's sequence and the remaining warm-up time.

--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -82,8 +82,11 @@
     const char* const state = record.state == gateway::backend_state::ready      ? "ready"
                               : record.state == gateway::backend_state::draining ? "draining"
                                                                                  : "gone";
-    env_.log->info("backend server {} of {} at {} version {} is {}", record.id, record.service,
-                   record.address, record.version, state);
+    // The heartbeat's sequence distinguishes changes, as `history` aligns the clocks of hosts by
+    // equal lines.
+    env_.log->info("backend server {} of {} at {} version {} is {}, heartbeat {}, cold for {} ms",
+                   record.id, record.service, record.address, record.version, state,
+                   record.sequence, record.cold_ms);
     if (record.state == gateway::backend_state::gone) {
         hooks_.backend_gone(record.id);
     }
