[gateway] Acknowledges operators' commands in one place

Cause: configurations, roll-outs and evacuations each had a copy of the code that logs the outcome of a command and responds.

Change: one function does so for all three. Log lines of configurations and roll-outs are as before.

--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -175,6 +175,23 @@
     });
 }
 
+void control_calls::commit(const gateway::control_command& command, std::string subject,
+                           std::shared_ptr<gateway::caller_port> caller)
+{
+    control_.commit(command, [this, subject = std::move(subject), caller = std::move(caller)](
+                                 control_plane::order_status status, const gateway::site_state*) {
+        const bool acknowledged = status == control_plane::order_status::done;
+        env_.log->info("{} {}", subject,
+                       acknowledged ? "acknowledged"
+                                    : "not acknowledged by a leader: it may still take effect");
+        if (acknowledged) {
+            respond_json(*caller, status_ok, "{}");
+        } else {
+            respond_error(*caller, status_unavailable, "no leader has acknowledged the command");
+        }
+    });
+}
+
 void control_calls::put_config(incoming_request request)
 {
     decode_or_refuse(env_, request, "configuration", [&]() -> result<void> {
@@ -189,20 +206,7 @@
         command.kind = gateway::control_kind::put_config;
         command.config_version = config.version;
         command.config_packed = pack(request.body);
-        control_.commit(command, [this, caller = request.answer,
-                                  version = config.version](control_plane::order_status status,
-                                                            const gateway::site_state*) {
-            const bool acknowledged = status == control_plane::order_status::done;
-            env_.log->info("configuration {} {}", version,
-                           acknowledged ? "acknowledged"
-                                        : "not acknowledged by a leader: it may still take effect");
-            if (acknowledged) {
-                respond_json(*caller, status_ok, "{}");
-            } else {
-                respond_error(*caller, status_unavailable,
-                              "no leader has acknowledged the command");
-            }
-        });
+        commit(command, "configuration " + std::to_string(config.version), request.answer);
         return {};
     });
 }
@@ -231,20 +235,7 @@
         gateway::control_command command;
         command.kind = gateway::control_kind::begin_rollout;
         command.rollout = order;
-        control_.commit(command, [this, caller = request.answer,
-                                  order](control_plane::order_status status,
-                                         const gateway::site_state*) {
-            const bool acknowledged = status == control_plane::order_status::done;
-            env_.log->info("roll-out of {} to {} {}", order.service, order.target,
-                           acknowledged ? "acknowledged"
-                                        : "not acknowledged by a leader: it may still take effect");
-            if (acknowledged) {
-                respond_json(*caller, status_ok, "{}");
-            } else {
-                respond_error(*caller, status_unavailable,
-                              "no leader has acknowledged the command");
-            }
-        });
+        commit(command, "roll-out of " + order.service + " to " + order.target, request.answer);
         return {};
     });
 }
@@ -300,30 +291,18 @@
         // The call may have waited in the socket while this host was suspended, and the operator
         // may have sent it, and a later one, to another host since. Its connection is closed then,
         // which shows in the next iteration of the main loop.
-        net::post(g_main_context_default(), [this, kind, change, domain, caller = request.answer] {
-            if (caller->is_closed()) {
-                env_.log->info("evacuation of {}: the operator has left before {}", domain, change);
-                return;
-            }
-            gateway::control_command command;
-            command.kind = kind;
-            command.failure_domain = domain;
-            control_.commit(
-                command, [this, change, domain, caller](control_plane::order_status status,
-                                                        const gateway::site_state*) {
-                    const bool acknowledged = status == control_plane::order_status::done;
-                    env_.log->info("evacuation of {}: {} {}", domain, change,
-                                   acknowledged
-                                       ? "acknowledged"
-                                       : "not acknowledged by a leader: it may still take effect");
-                    if (acknowledged) {
-                        respond_json(*caller, status_ok, "{}");
-                    } else {
-                        respond_error(*caller, status_unavailable,
-                                      "no leader has acknowledged the command");
-                    }
-                });
-        });
+        net::post(g_main_context_default(),
+                  [this, kind, subject = "evacuation of " + domain + ": " + std::string{change},
+                   domain, caller = request.answer] {
+                      if (caller->is_closed()) {
+                          env_.log->info("{} dropped: the operator has left", subject);
+                          return;
+                      }
+                      gateway::control_command command;
+                      command.kind = kind;
+                      command.failure_domain = domain;
+                      commit(command, subject, caller);
+                  });
         return {};
     });
 }
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -37,6 +37,9 @@
     /// Counts and logs a refused record and responds with status 400.
     void refuse_record(const std::string& name, const incoming_request& request,
                        std::string_view reason);
+    /// Commits the command, then logs the outcome for `subject` and responds.
+    void commit(const gateway::control_command& command, std::string subject,
+                std::shared_ptr<gateway::caller_port> caller);
     void put_config(incoming_request request);
     void get_config(const incoming_request& request);
     void begin_rollout(const incoming_request& request);
