[gateway] Counts crash facts that are new, and the memory of links

No metric tells why hosts with a disk end with "memory over the limit" after a restart of all of them. Two hypotheses need telling apart: crash facts that are forwarded again and again, and buffers of links that keep memory. The host now counts crash facts received and those of them that it did not know, and shows bytes unsent and bytes allocated on all links.

--- a/modules/net/include/hickorypost/net/link.h
+++ b/modules/net/include/hickorypost/net/link.h
@@ -63,6 +63,11 @@
     [[nodiscard]] bool is_up() const noexcept { return up_ && !closed_; }
     [[nodiscard]] const wire::hello& peer() const noexcept { return peer_; }
     [[nodiscard]] std::size_t unsent_bytes() const noexcept { return out_.size(); }
+    /// Memory allocated by the buffers of this link, in bytes.
+    [[nodiscard]] std::size_t buffer_bytes() const noexcept
+    {
+        return out_.capacity() + reader_.capacity() + scratch_.capacity();
+    }
     [[nodiscard]] const link_counters& counters() const noexcept { return counters_; }
 
 private:
--- a/modules/net/include/hickorypost/net/out_buffer.h
+++ b/modules/net/include/hickorypost/net/out_buffer.h
@@ -38,6 +38,8 @@
     }
     /// Bytes kept in memory, written ones included.
     [[nodiscard]] std::size_t held() const noexcept { return bytes_.size(); }
+    /// Memory allocated, in bytes.
+    [[nodiscard]] std::size_t capacity() const noexcept { return bytes_.capacity(); }
 
 private:
     /// Moving the rest to the front costs less than the system call that wrote as much as this.
--- a/modules/wire/include/hickorypost/wire/frame.h
+++ b/modules/wire/include/hickorypost/wire/frame.h
@@ -40,6 +40,9 @@
     /// `frame_error`.
     result<std::optional<frame>> next();
 
+    /// Memory allocated, in bytes.
+    [[nodiscard]] std::size_t capacity() const noexcept { return buffer_.capacity(); }
+
 private:
     std::size_t max_frame_bytes_;
     std::string buffer_;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -197,6 +197,8 @@
             changed.rows.push_back(row);
         }
     }
+    env_.metrics.count("crash_facts_received_total", static_cast<double>(facts.rows.size()));
+    env_.metrics.count("crash_facts_new_total", static_cast<double>(changed.rows.size()));
     if (!changed.rows.empty()) {
         broadcast(changed, from);
     }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -508,6 +508,8 @@
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
+    metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
+    metrics.set("link_buffer_bytes", static_cast<double>(mesh_->buffer_bytes()));
     metrics.set("hosts", static_cast<double>(control_->host_count()));
     metrics.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
     metrics.set("failure_domains_evacuated",
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -158,6 +158,32 @@
     return up != nullptr && up->unsent_bytes() > congested_bytes;
 }
 
+std::size_t peer_mesh::unsent_bytes() const
+{
+    return sum_over_links(&net::link::unsent_bytes);
+}
+
+std::size_t peer_mesh::buffer_bytes() const
+{
+    return sum_over_links(&net::link::buffer_bytes);
+}
+
+std::size_t peer_mesh::sum_over_links(std::size_t (net::link::*bytes)() const) const
+{
+    std::size_t sum = 0;
+    for (const auto& [host, it] : connectors_) {
+        if (const net::link* const up = it->current(); up != nullptr) {
+            sum += (up->*bytes)();
+        }
+    }
+    for (const auto& [host, links] : incoming_) {
+        for (const net::link* const it : links) {
+            sum += (it->*bytes)();
+        }
+    }
+    return sum;
+}
+
 std::vector<node_id> peer_mesh::linked() const
 {
     std::set<node_id> out;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -57,6 +57,10 @@
     /// Returns whether so many bytes wait to be sent to the host that messages which soon become
     /// outdated should not be queued.
     [[nodiscard]] bool congested(const node_id& to) const;
+    /// Bytes that wait to be sent on all links.
+    [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Memory allocated by the buffers of all links, in bytes.
+    [[nodiscard]] std::size_t buffer_bytes() const;
     /// Core hosts with their failure domains. Includes this host if it has a disk.
     [[nodiscard]] const std::map<node_id, std::string>& core() const noexcept { return core_; }
     /// All hosts to which a link is up.
@@ -72,6 +76,8 @@
     void on_down(net::link& it, std::string_view why);
     [[nodiscard]] wire::hello hello() const;
     net::link_options link_options() const;
+    /// Sum of `bytes` over all links.
+    [[nodiscard]] std::size_t sum_over_links(std::size_t (net::link::*bytes)() const) const;
 
     runtime& env_;
     net::peer_address self_;
