[gateway] Recognizes known crash facts whatever the delay of their copies

Cause: a clearance counted as new if its time was later than the known one. Facts travel with their age, so each copy that takes longer seems later. After the restart some hundred hosts attach, each with a list of its own clearances; the hosts with a disk forward nearly every one of them to all others.

From 32 to 37 s one host with a disk forwarded 229 lists to 18 to 46 hosts each on average; of the facts that it took for new 51 were crashes, 426 first clearances, and some 49,000 clearances that were known and seemed later, by 15 to 350 ms on average. No crash that had been refuted or forgotten came back.

Change: a clearance names the crash that it voids (identity and incarnation), and a void crash is remembered. Whether a fact is known no longer depends on its time. Facts are kept 10 s longer than they are accepted, since hosts forget them at different times. Clearances of earlier releases name no backend server; they still void the earlier crashes that a host knows, and are new only if they do.

The cases `delayed_copy_of_a_known_fact_is_not_new`, `late_report_of_a_cleared_crash_does_not_count` and `forgotten_clearance_is_not_new_again` failed before.

--- a/bench/sharing_bench.cpp
+++ b/bench/sharing_bench.cpp
@@ -81,7 +81,7 @@
     wire::crash_facts clears;
     for (std::uint64_t n = 0; n < in_flight; ++n) {
         facts.rows.push_back({0, ~n, n << 40U, "i-62e4cac799", 2, 6});
-        clears.rows.push_back({1, ~n, n << 40U, {}, 0, 6});
+        clears.rows.push_back({1, ~n, n << 40U, "i-62e4cac799", 0, 6});
     }
     const std::size_t bytes = wire::encode(facts).size() + wire::encode(clears).size();
     std::printf("bytes to a host for a crash with %zu requests in flight and their success: %zu "
--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -15,17 +15,19 @@
 namespace hickorypost::gateway {
 
 /// An event that concerns a request identity, found by one host and sent to all others. Hosts that
-/// have received the same facts agree, whatever the order of arrival.
+/// have received the same facts agree, whatever the order of arrival. A fact travels with its age,
+/// so the longer a copy takes, the later `at` seems: `at` must not decide whether a fact is known.
 struct crash_fact {
     enum class kind_type : std::uint8_t {
         crashed, ///< a request of this identity was in flight on a backend server that crashed
-        cleared, ///< voids earlier crashes: a request succeeded, or an operator cleared the
-                 ///< identity
+        cleared, ///< voids a known crash: a request succeeded, or an operator cleared the identity
         tried,   ///< a request was sent as a trial, although the identity is refused
     };
     kind_type kind = kind_type::crashed;
     request_identity identity;
-    std::string backend; ///< incarnation; `crashed` only
+    /// Incarnation that crashed, or whose crash is void; empty for `tried`. Earlier releases leave
+    /// it empty for `cleared`, which then voids all crashes before `at`.
+    std::string backend;
     /// Crashes that the host knew of when it sent the attempt; `crashed` only.
     std::uint32_t crashes_before = 0;
     instant at;
@@ -41,9 +43,12 @@
     millis longest_trial{600'000};
     /// Time after the last crash until an identity is forgotten.
     millis retention{1'800'000};
-    /// Time for which a clearance or trial without crashes is kept: the longest delay of a fact
-    /// that it must still void.
+    /// The same for a clearance, and for a trial of an identity without crashes: the longest delay
+    /// after which a clearance must still take effect.
     millis clear_retention{60'000};
+    /// The longest delay of a copy of a known fact. Facts are kept for this much longer than they
+    /// are accepted, so that a copy of a forgotten fact is not new.
+    millis max_copy_delay{10'000};
     /// Upper bound of stored facts. Identities with the fewest crashes are evicted first.
     std::size_t max_facts = 4096;
     /// The longest delay of a heartbeat. Heartbeats count from this long after a reported
@@ -59,7 +64,7 @@
 /// number of known crashes count once: many callers send equal requests, and several
 /// backend servers that end at the same moment would otherwise suffice to refuse them. That number
 /// orders crashes causally, since facts reach hosts with different delays. A success voids all
-/// earlier crashes.
+/// crashes that its host knows.
 class crash_ledger {
 public:
     using share_fn = std::function<void(const crash_fact&)>;
@@ -121,9 +126,14 @@
         std::uint32_t crashes_before = 0;
         instant crashed_at;
     };
+    /// A crash that no longer counts. It is remembered, so that no delayed report counts it again.
+    struct void_crash {
+        std::string backend;
+        instant cleared_at;
+    };
     struct record {
         std::vector<crash_event> events; ///< sorted by `crashed_at`
-        instant cleared;
+        std::vector<void_crash> voided;  ///< in the order of arrival
         instant tried;
     };
     struct crashed_backend {
@@ -138,6 +148,11 @@
     /// These return true if the fact was new.
     bool add_crash(const crash_fact& fact);
     bool add_clearance(const crash_fact& fact);
+    /// Handles a clearance that names no backend server.
+    bool clear_earlier_crashes(const crash_fact& fact);
+    bool add_trial(const crash_fact& fact);
+    /// Whether a fact is so old that it would be forgotten at once.
+    [[nodiscard]] bool expired(const crash_fact& fact) const;
     /// Removes an event of an identity from the index of crashed backend servers.
     void unindex(const request_identity& identity, const crash_event& event);
     void erase(record_map::iterator at);
--- a/modules/gateway/src/crash_ledger.cpp
+++ b/modules/gateway/src/crash_ledger.cpp
@@ -6,6 +6,17 @@
 
 namespace hickorypost::gateway {
 
+namespace {
+
+/// Returns the entry of `crashes` for an incarnation, or its end.
+auto find_backend(auto& crashes, std::string_view backend)
+{
+    return std::find_if(crashes.begin(), crashes.end(),
+                        [&](const auto& it) { return it.backend == backend; });
+}
+
+} // namespace
+
 crash_ledger::crash_ledger(crash_ledger_settings settings, clock_fn now, share_fn share,
                            refuted_fn refuted)
     : settings_{settings}, now_{std::move(now)}, share_{std::move(share)}, refuted_{
@@ -25,13 +36,19 @@
 
 bool crash_ledger::clear(const request_identity& identity)
 {
-    const crash_fact fact{crash_fact::kind_type::cleared, identity, {}, 0, now_()};
     const auto found = records_.find(identity);
-    const bool known = found != records_.end() && !found->second.events.empty();
-    if (known && take(fact)) {
-        share_(fact);
+    if (found == records_.end() || found->second.events.empty()) {
+        return false;
+    }
+    // Copied: storing the first clearance may evict the record.
+    const auto crashes = found->second.events;
+    for (const auto& crash : crashes) {
+        const crash_fact fact{crash_fact::kind_type::cleared, identity, crash.backend, 0, now_()};
+        if (take(fact)) {
+            share_(fact);
+        }
     }
-    return known;
+    return true;
 }
 
 void crash_ledger::tried(const request_identity& identity)
@@ -44,19 +61,26 @@
 
 bool crash_ledger::take(const crash_fact& fact)
 {
+    if (expired(fact)) {
+        return false;
+    }
     switch (fact.kind) {
     case crash_fact::kind_type::crashed:
         return add_crash(fact);
     case crash_fact::kind_type::cleared:
-        return add_clearance(fact);
-    case crash_fact::kind_type::tried: {
-        record& entry = find_or_add(fact.identity);
-        return std::exchange(entry.tried, std::max(entry.tried, fact.at)) < fact.at;
-    }
+        return fact.backend.empty() ? clear_earlier_crashes(fact) : add_clearance(fact);
+    case crash_fact::kind_type::tried:
+        return add_trial(fact);
     }
     return false;
 }
 
+bool crash_ledger::expired(const crash_fact& fact) const
+{
+    const bool is_clearance = fact.kind == crash_fact::kind_type::cleared;
+    return now_() > fact.at + (is_clearance ? settings_.clear_retention : settings_.retention);
+}
+
 crash_ledger::record& crash_ledger::find_or_add(const request_identity& identity)
 {
     if (const auto found = records_.find(identity); found != records_.end()) {
@@ -72,7 +96,9 @@
 {
     while (facts_ >= settings_.max_facts && !records_.empty()) {
         const auto newest = [](const record& entry) {
-            return entry.events.empty() ? entry.cleared : entry.events.back().crashed_at;
+            return !entry.events.empty()   ? entry.events.back().crashed_at
+                   : !entry.voided.empty() ? entry.voided.back().cleared_at
+                                           : entry.tried;
         };
         const auto least =
             std::min_element(records_.begin(), records_.end(), [&](const auto& a, const auto& b) {
@@ -90,6 +116,7 @@
         unindex(identity, at->second.events.back());
         at->second.events.pop_back();
     }
+    facts_ -= at->second.voided.size();
     records_.erase(at);
     --facts_;
     if (const auto outline = outlines_.find(identity.outline); --outline->second == 0) {
@@ -111,12 +138,10 @@
 {
     evict();
     record& entry = find_or_add(fact.identity);
-    if (fact.at <= entry.cleared) {
+    if (find_backend(entry.voided, fact.backend) != entry.voided.end()) {
         return false;
     }
-    auto known =
-        std::find_if(entry.events.begin(), entry.events.end(),
-                     [&](const crash_event& event) { return event.backend == fact.backend; });
+    const auto known = find_backend(entry.events, fact.backend);
     const bool news = known == entry.events.end();
     if (news) {
         entry.events.push_back({fact.backend, fact.crashes_before, fact.at});
@@ -139,18 +164,47 @@
 
 bool crash_ledger::add_clearance(const crash_fact& fact)
 {
+    evict();
     record& entry = find_or_add(fact.identity);
-    if (fact.at <= entry.cleared) {
+    if (const auto known = find_backend(entry.voided, fact.backend); known != entry.voided.end()) {
+        known->cleared_at = std::min(known->cleared_at, fact.at);
         return false;
     }
-    entry.cleared = fact.at;
-    std::erase_if(entry.events, [&](const crash_event& event) {
-        const bool is_void = event.crashed_at <= fact.at;
-        if (is_void) {
-            unindex(fact.identity, event);
+    if (const auto event = find_backend(entry.events, fact.backend); event != entry.events.end()) {
+        unindex(fact.identity, *event);
+        entry.events.erase(event);
+    }
+    entry.voided.push_back({fact.backend, fact.at});
+    ++facts_;
+    return true;
+}
+
+bool crash_ledger::clear_earlier_crashes(const crash_fact& fact)
+{
+    const auto found = records_.find(fact.identity);
+    if (found == records_.end()) {
+        return false;
+    }
+    bool news = false;
+    const auto crashes = found->second.events;
+    for (const auto& crash : crashes) {
+        if (crash.crashed_at <= fact.at) {
+            crash_fact clearance = fact;
+            clearance.backend = crash.backend;
+            news = add_clearance(clearance) || news;
         }
-        return is_void;
-    });
+    }
+    return news;
+}
+
+bool crash_ledger::add_trial(const crash_fact& fact)
+{
+    record& entry = find_or_add(fact.identity);
+    // Trials are at least `first_trial` apart, so this one is a copy, or began at the same time.
+    if (entry.tried != instant{} && fact.at < entry.tried + settings_.first_trial / 2) {
+        return false;
+    }
+    entry.tried = fact.at;
     return true;
 }
 
@@ -187,13 +241,16 @@
 
 void crash_ledger::expire()
 {
-    const instant now = now_();
+    const instant forgotten_before = now_() - settings_.max_copy_delay;
     for (auto at = records_.begin(); at != records_.end();) {
-        const record& entry = at->second;
+        record& entry = at->second;
+        facts_ -= std::erase_if(entry.voided, [&](const void_crash& it) {
+            return it.cleared_at + settings_.clear_retention < forgotten_before;
+        });
         const bool over =
             entry.events.empty()
-                ? now > std::max(entry.cleared, entry.tried) + settings_.clear_retention
-                : now > entry.events.back().crashed_at + settings_.retention;
+                ? entry.voided.empty() && entry.tried + settings_.clear_retention < forgotten_before
+                : entry.events.back().crashed_at + settings_.retention < forgotten_before;
         const auto next = std::next(at);
         if (over) {
             erase(at);
@@ -265,8 +322,9 @@
             out.push_back({crash_fact::kind_type::crashed, identity, crash.backend,
                            crash.crashes_before, crash.crashed_at});
         }
-        if (entry.cleared != instant{}) {
-            out.push_back({crash_fact::kind_type::cleared, identity, {}, 0, entry.cleared});
+        for (const auto& crash : entry.voided) {
+            out.push_back(
+                {crash_fact::kind_type::cleared, identity, crash.backend, 0, crash.cleared_at});
         }
         if (entry.tried != instant{}) {
             out.push_back({crash_fact::kind_type::tried, identity, {}, 0, entry.tried});
--- a/modules/gateway/tests/crash_ledger_test.cpp
+++ b/modules/gateway/tests/crash_ledger_test.cpp
@@ -220,6 +220,79 @@
     BOOST_TEST((there.ledger.standing_of(crasher) == standing::refused));
 }
 
+// Guards against hosts that forward a known fact again because a copy of it took longer.
+BOOST_AUTO_TEST_CASE(delayed_copy_of_a_known_fact_is_not_new)
+{
+    test_ledger here;
+    for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
+        here.crash(backend, {crasher});
+    }
+    here.now += millis{61'000};
+    here.ledger.tried(crasher);
+    here.crash("i-4", {good});
+    here.ledger.clear(good);
+    test_ledger there;
+    there.now = here.now;
+    for (const auto& fact : here.shared) {
+        there.ledger.take(fact);
+    }
+    for (const millis delay : {millis{1}, millis{300}, millis{5000}}) {
+        for (auto fact : here.shared) {
+            fact.at += delay;
+            BOOST_TEST(!there.ledger.take(fact));
+        }
+    }
+    BOOST_TEST((counts(there.ledger) == counts(here.ledger)));
+}
+
+// Guards against counting a crash again whose report takes longer than its clearance.
+BOOST_AUTO_TEST_CASE(late_report_of_a_cleared_crash_does_not_count)
+{
+    test_ledger here;
+    here.crash("i-1", {good});
+    here.now += millis{300};
+    here.ledger.clear(good);
+    auto late_report = here.shared.front();
+    late_report.at += millis{900};
+
+    test_ledger in_order;
+    test_ledger reordered;
+    in_order.now = reordered.now = here.now;
+    in_order.ledger.take(here.shared.front());
+    for (auto* const it : {&in_order, &reordered}) {
+        it->ledger.take(here.shared.back());
+        BOOST_TEST(!it->ledger.take(late_report));
+        BOOST_TEST(it->ledger.crashes(good) == 0U);
+    }
+}
+
+// Guards against hosts that exchange a clearance forever because they forget it at different times.
+BOOST_AUTO_TEST_CASE(forgotten_clearance_is_not_new_again)
+{
+    test_ledger it;
+    it.crash("i-1", {good});
+    it.ledger.clear(good);
+    it.now += millis{71'000};
+    it.ledger.expire();
+    BOOST_TEST(it.ledger.empty());
+    auto delayed_copy = it.shared.back();
+    delayed_copy.at += millis{5000};
+    BOOST_TEST(!it.ledger.take(delayed_copy));
+}
+
+// Guards against ignoring the clearances of hosts that run an earlier release.
+BOOST_AUTO_TEST_CASE(clearance_without_a_backend_voids_earlier_crashes)
+{
+    test_ledger it;
+    it.crash("i-1", {good});
+    it.crash("i-2", {good});
+    const crash_fact clearance{crash_fact::kind_type::cleared, good, {}, 0, it.now};
+    it.crash("i-3", {good});
+    BOOST_TEST(it.ledger.take(clearance));
+    BOOST_TEST(it.ledger.known_crashes(good) == 1U);
+    BOOST_TEST(!it.ledger.take(clearance));
+}
+
 // Guards against exhausting memory by many different requests.
 BOOST_AUTO_TEST_CASE(facts_are_bounded_and_identities_with_most_crashes_are_kept)
 {
