[net] Frees the memory of link buffers after a burst

Cause: the buffer of unsent bytes, the reader of frames and the buffer for encoding keep the memory of the largest burst for as long as a link is up, and the first two double it. A host with a disk has over a hundred links.

Change: an empty buffer keeps at most 16 KB. One that is not empty is copied into a new string when more has been written than waits, since `erase` keeps the memory.

Before the change `links_free_their_buffers_after_a_burst` fails with 6,863,184 bytes held by an idle link (now at most 49,152), and `memory_follows_the_unsent_bytes_after_a_burst` with 1,000,000 bytes for 10,000 unsent ones.

--- a/modules/net/include/hickorypost/net/link.h
+++ b/modules/net/include/hickorypost/net/link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/base/buffer.h"
 #include "hickorypost/base/time.h"
 #include "hickorypost/net/gobject_ptr.h"
 #include "hickorypost/net/out_buffer.h"
@@ -53,9 +54,9 @@
     template <class M>
     void send(const M& message)
     {
-        scratch_.clear();
         wire::encode_to(scratch_, message);
         send_frame(M::type, scratch_);
+        clear_buffer(scratch_);
     }
 
     void close(std::string_view why);
--- a/modules/net/include/hickorypost/net/out_buffer.h
+++ b/modules/net/include/hickorypost/net/out_buffer.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include "hickorypost/base/buffer.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace hickorypost::net {
 
-/// Bytes on their way to a socket. What has been written is given back to the allocator also while
-/// the rest waits: a peer that always lags a little would otherwise hold all that was ever sent to
-/// it, and the process would end at its memory limit.
+/// Bytes that wait to be written to a socket. Memory of written bytes is freed while the rest
+/// waits: otherwise a peer that always lags a little would hold all that was ever sent to it, and
+/// the process would end at its memory limit.
 class out_buffer {
 public:
     void push(std::string_view bytes) { bytes_.append(bytes); }
@@ -26,14 +28,15 @@
         written_ += n;
         if (written_ == bytes_.size()) {
             clear();
-        } else if (written_ >= least_given_back && written_ >= size()) {
-            bytes_.erase(0, written_);
+        } else if (written_ >= min_freed_bytes && written_ >= size()) {
+            // A new string, since `erase` would keep the memory.
+            std::string{pending()}.swap(bytes_);
             written_ = 0;
         }
     }
     void clear() noexcept
     {
-        bytes_.clear();
+        clear_buffer(bytes_);
         written_ = 0;
     }
     /// Bytes kept in memory, written ones included.
@@ -42,8 +45,8 @@
     [[nodiscard]] std::size_t capacity() const noexcept { return bytes_.capacity(); }
 
 private:
-    /// Moving the rest to the front costs less than the system call that wrote as much as this.
-    static constexpr std::size_t least_given_back = std::size_t{16} << 10U;
+    /// Copying the rest costs less than the system call that wrote as much as this.
+    static constexpr std::size_t min_freed_bytes = std::size_t{16} << 10U;
 
     std::string bytes_;
     std::size_t written_ = 0;
--- a/modules/net/tests/link_test.cpp
+++ b/modules/net/tests/link_test.cpp
@@ -97,6 +97,25 @@
     BOOST_TEST(it.last == "small");
 }
 
+// Guards against a host that ends at its memory limit because each of its links keeps the memory of
+// its largest burst.
+BOOST_AUTO_TEST_CASE(links_free_their_buffers_after_a_burst)
+{
+    constexpr std::size_t buffers_per_link = 3;
+    constexpr std::size_t max_idle_bytes = buffers_per_link * max_idle_buffer_bytes;
+    pair_of_links it{nullptr, nullptr};
+    BOOST_REQUIRE(turn_until([&] { return it.client->current() != nullptr; }));
+    auto& link = *it.client->current();
+    constexpr std::size_t messages = 50;
+    for (std::size_t n = 0; n < messages; ++n) {
+        link.send(wire::piece{1, 0, std::string(100'000, 'x')});
+    }
+    BOOST_TEST(link.buffer_bytes() > max_idle_bytes);
+    BOOST_TEST(turn_until([&] { return it.echoed == messages; }));
+    BOOST_TEST(link.unsent_bytes() == 0U);
+    BOOST_TEST(link.buffer_bytes() <= max_idle_bytes);
+}
+
 BOOST_AUTO_TEST_CASE(tls_carries_links_between_known_processes)
 {
     const auto one = identity("one", "ca");
--- a/modules/net/tests/out_buffer_test.cpp
+++ b/modules/net/tests/out_buffer_test.cpp
@@ -25,6 +25,20 @@
     BOOST_TEST(it.held() < 10 * step);
 }
 
+// Guards against keeping the memory of a burst while a few bytes are still unsent.
+BOOST_AUTO_TEST_CASE(memory_follows_the_unsent_bytes_after_a_burst)
+{
+    constexpr std::size_t burst = 1'000'000;
+    constexpr std::size_t rest = 10'000;
+    out_buffer it;
+    it.push(std::string(burst, 'a'));
+    it.consume(burst - rest);
+    BOOST_TEST(it.size() == rest);
+    BOOST_TEST(it.capacity() < 4 * rest);
+    it.consume(rest);
+    BOOST_TEST(it.capacity() < 4 * rest);
+}
+
 BOOST_AUTO_TEST_CASE(bytes_leave_in_order_whatever_the_sizes_of_the_writes)
 {
     out_buffer it;
--- a/modules/wire/src/frame.cpp
+++ b/modules/wire/src/frame.cpp
@@ -1,5 +1,7 @@
 #include "hickorypost/wire/frame.h"
 
+#include "hickorypost/base/buffer.h"
+
 #include <array>
 
 namespace hickorypost::wire {
@@ -8,8 +10,8 @@
 
 constexpr std::size_t type_bytes = 2;
 constexpr std::size_t length_bytes = frame_header_bytes - type_bytes;
-/// Consumed bytes are erased from the buffer only above this size, so that small frames do not
-/// cause a move of the remaining bytes each time.
+/// Consumed bytes are dropped from the buffer only above this size, so that small frames do not
+/// cause a copy of the remaining bytes each time.
 constexpr std::size_t compact_threshold = std::size_t{64} << 10U;
 
 std::uint32_t read_big_endian(std::string_view bytes) noexcept
@@ -41,7 +43,7 @@
 void frame_reader::push(std::string_view bytes)
 {
     if (consumed_ > compact_threshold) {
-        buffer_.erase(0, consumed_);
+        buffer_.substr(consumed_).swap(buffer_);
         consumed_ = 0;
     }
     buffer_.append(bytes);
@@ -68,7 +70,7 @@
     out.body = unread.substr(frame_header_bytes, length - type_bytes);
     consumed_ += length_bytes + length;
     if (consumed_ == buffer_.size()) {
-        buffer_.clear();
+        clear_buffer(buffer_);
         consumed_ = 0;
     }
     return std::optional<frame>{std::move(out)};
