[tests] The caller of a draining host waits for what the kernel still delivers

Trace: the server has closed its socket, the kernel still delivers, and the test judged the answer by what had arrived at that moment. It now reads until the connection has ended, or nothing arrives for 10 s.

--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -83,18 +83,19 @@
             break;
         }
     }
-    /// Runs server and caller until the drain has ended. Returns false if it does not end.
+    /// Runs server and caller until the drain has ended and the caller has received all that the
+    /// kernel still delivers. Returns false if the drain does not end.
     bool finish()
     {
         constexpr int max_iterations = 10'000;
         for (int n = 0; n < max_iterations && server_; ++n) {
             run_main_loop();
-            pollfd readable{fd_, POLLIN, 0};
-            ::poll(&readable, ended_ ? 0 : 1, 1);
-            read();
+            poll_caller(1);
             drain_step();
         }
-        read();
+        constexpr int max_delivery_ms = 10'000;
+        while (!ended_ && poll_caller(max_delivery_ms)) {
+        }
         return server_ == nullptr;
     }
     [[nodiscard]] bool answer_complete(std::size_t pieces) const
@@ -125,6 +126,14 @@
     {
         (void)::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
     }
+    /// Reads what arrives within the time. Returns false if nothing does.
+    bool poll_caller(int timeout_ms)
+    {
+        pollfd readable{fd_, POLLIN, 0};
+        const int n = ::poll(&readable, ended_ ? 0 : 1, timeout_ms);
+        read();
+        return n > 0;
+    }
     /// The step that a host repeats after SIGTERM, once it accepts no new callers.
     void drain_step()
     {
