[gateway] Evicts crash facts only for new ones

Cause: a host at the bound of 4,096 facts evicted a record before it looked whether the fact that arrived was known. Each copy of a known fact made it forget another one, which was new when its copy came.

Change: known facts are recognized before anything is evicted.

--- a/modules/gateway/src/crash_ledger.cpp
+++ b/modules/gateway/src/crash_ledger.cpp
@@ -136,40 +136,46 @@
 
 bool crash_ledger::add_crash(const crash_fact& fact)
 {
-    evict();
-    record& entry = find_or_add(fact.identity);
-    if (find_backend(entry.voided, fact.backend) != entry.voided.end()) {
-        return false;
-    }
-    const auto known = find_backend(entry.events, fact.backend);
-    const bool news = known == entry.events.end();
-    if (news) {
-        entry.events.push_back({fact.backend, fact.crashes_before, fact.at});
-        auto& backend = crashed_backends_[fact.backend];
-        backend.identities.push_back(fact.identity);
-        if (fact.at > backend.crashed_at) {
-            backend.crashed_at = fact.at;
-            backend.alive_since = {};
+    const auto by_time = [](const crash_event& a, const crash_event& b) {
+        return a.crashed_at < b.crashed_at;
+    };
+    if (const auto found = records_.find(fact.identity); found != records_.end()) {
+        auto& [events, voided, tried] = found->second;
+        if (find_backend(voided, fact.backend) != voided.end()) {
+            return false;
+        }
+        if (const auto known = find_backend(events, fact.backend); known != events.end()) {
+            known->crashes_before = std::min(known->crashes_before, fact.crashes_before);
+            known->crashed_at = std::min(known->crashed_at, fact.at);
+            std::sort(events.begin(), events.end(), by_time);
+            return false;
         }
-        ++facts_;
-    } else {
-        known->crashes_before = std::min(known->crashes_before, fact.crashes_before);
-        known->crashed_at = std::min(known->crashed_at, fact.at);
     }
-    std::sort(
-        entry.events.begin(), entry.events.end(),
-        [](const crash_event& a, const crash_event& b) { return a.crashed_at < b.crashed_at; });
-    return news;
+    evict();
+    auto& events = find_or_add(fact.identity).events;
+    events.push_back({fact.backend, fact.crashes_before, fact.at});
+    std::sort(events.begin(), events.end(), by_time);
+    ++facts_;
+    auto& backend = crashed_backends_[fact.backend];
+    backend.identities.push_back(fact.identity);
+    if (fact.at > backend.crashed_at) {
+        backend.crashed_at = fact.at;
+        backend.alive_since = {};
+    }
+    return true;
 }
 
 bool crash_ledger::add_clearance(const crash_fact& fact)
 {
+    if (const auto found = records_.find(fact.identity); found != records_.end()) {
+        auto& voided = found->second.voided;
+        if (const auto known = find_backend(voided, fact.backend); known != voided.end()) {
+            known->cleared_at = std::min(known->cleared_at, fact.at);
+            return false;
+        }
+    }
     evict();
     record& entry = find_or_add(fact.identity);
-    if (const auto known = find_backend(entry.voided, fact.backend); known != entry.voided.end()) {
-        known->cleared_at = std::min(known->cleared_at, fact.at);
-        return false;
-    }
     if (const auto event = find_backend(entry.events, fact.backend); event != entry.events.end()) {
         unindex(fact.identity, *event);
         entry.events.erase(event);
--- a/modules/gateway/tests/crash_ledger_test.cpp
+++ b/modules/gateway/tests/crash_ledger_test.cpp
@@ -293,6 +293,23 @@
     BOOST_TEST(!it.ledger.take(clearance));
 }
 
+// Guards against hosts with many facts that make each other forget known facts, which are then new.
+BOOST_AUTO_TEST_CASE(copies_of_known_facts_evict_nothing)
+{
+    test_ledger it{{.max_facts = 64}};
+    for (std::uint64_t n = 10; n < 100; ++n) {
+        it.crash("i-" + std::to_string(n), {{n, n}});
+        if (n % 2 == 0) {
+            it.ledger.clear({n, n});
+        }
+    }
+    const auto facts = it.ledger.all();
+    for (const auto& fact : facts) {
+        BOOST_TEST(!it.ledger.take(fact));
+    }
+    BOOST_TEST(it.ledger.all().size() == facts.size());
+}
+
 // Guards against exhausting memory by many different requests.
 BOOST_AUTO_TEST_CASE(facts_are_bounded_and_identities_with_most_crashes_are_kept)
 {
