--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -43,8 +43,8 @@
     millis longest_trial{600'000};
     /// Time after the last crash until an identity is forgotten.
     millis retention{1'800'000};
-    /// The same for a clearance, and for a trial of an identity without crashes: the longest delay
-    /// after which a clearance must still take effect.
+    /// Time until a clearance is forgotten, and a trial of an identity without crashes. A clearance
+    /// that takes longer to reach a host has no effect there.
     millis clear_retention{60'000};
     /// The longest delay of a copy of a known fact. Facts are kept for this much longer than they
     /// are accepted, so that a copy of a forgotten fact is not new.
@@ -133,7 +133,7 @@
     };
     struct record {
         std::vector<crash_event> events; ///< sorted by `crashed_at`
-        std::vector<void_crash> voided;  ///< in the order of arrival
+        std::vector<void_crash> voided;  ///< in order of arrival
         instant tried;
     };
     struct crashed_backend {
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -160,25 +160,26 @@
 
 std::size_t peer_mesh::unsent_bytes() const
 {
-    return sum_over_links(&net::link::unsent_bytes);
+    return sum_over_links([](const net::link& it) { return it.unsent_bytes(); });
 }
 
 std::size_t peer_mesh::buffer_bytes() const
 {
-    return sum_over_links(&net::link::buffer_bytes);
+    return sum_over_links([](const net::link& it) { return it.buffer_bytes(); });
 }
 
-std::size_t peer_mesh::sum_over_links(std::size_t (net::link::*bytes)() const) const
+std::size_t
+peer_mesh::sum_over_links(const std::function<std::size_t(const net::link&)>& bytes) const
 {
     std::size_t sum = 0;
     for (const auto& [host, it] : connectors_) {
         if (const net::link* const up = it->current(); up != nullptr) {
-            sum += (up->*bytes)();
+            sum += bytes(*up);
         }
     }
     for (const auto& [host, links] : incoming_) {
         for (const net::link* const it : links) {
-            sum += (it->*bytes)();
+            sum += bytes(*it);
         }
     }
     return sum;
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -57,9 +57,9 @@
     /// Returns whether so many bytes wait to be sent to the host that messages which soon become
     /// outdated should not be queued.
     [[nodiscard]] bool congested(const node_id& to) const;
-    /// Bytes that wait to be sent on all links.
+    /// Bytes that wait to be sent on all links that are up.
     [[nodiscard]] std::size_t unsent_bytes() const;
-    /// Memory allocated by the buffers of all links, in bytes.
+    /// Memory allocated by the buffers of all links that are up, in bytes.
     [[nodiscard]] std::size_t buffer_bytes() const;
     /// Core hosts with their failure domains. Includes this host if it has a disk.
     [[nodiscard]] const std::map<node_id, std::string>& core() const noexcept { return core_; }
@@ -76,8 +76,8 @@
     void on_down(net::link& it, std::string_view why);
     [[nodiscard]] wire::hello hello() const;
     net::link_options link_options() const;
-    /// Sum of `bytes` over all links.
-    [[nodiscard]] std::size_t sum_over_links(std::size_t (net::link::*bytes)() const) const;
+    [[nodiscard]] std::size_t
+    sum_over_links(const std::function<std::size_t(const net::link&)>& bytes) const;
 
     runtime& env_;
     net::peer_address self_;
