[gateway] Logs and counts requests to back off

Retry-After and Server-Leaving of an answer are now decoded, and backend_backoff knows until when a backend server wants no requests. No choice depends on it yet.

New: the line backend_backoff (backend, request that was rejected, wait_ms), which the history of a request includes; the metrics backoffs_requested_total, backoffs_invalid_total, backends_backing_off, attempts_during_backoff_total; the field sent_during_backoff of request_ended.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -90,8 +90,10 @@
     unsigned status = 0;
     std::string reason;
     std::uint32_t attempts = 0;
-    std::uint32_t candidates = 0;      ///< backend servers that the last attempt could choose from
-    std::uint32_t limited = 0;         ///< of the candidates, those without room under their limit
+    std::uint32_t candidates = 0; ///< backend servers that the last attempt could choose from
+    std::uint32_t limited = 0;    ///< of the candidates, those without room under their limit
+    /// Attempts sent to a backend server while it had asked this host to back off.
+    std::uint32_t sent_during_backoff = 0;
     std::optional<millis> retry_after; ///< as sent to the caller
     std::uint64_t config_version = 0;
     std::uint64_t events = 0;
@@ -115,6 +117,7 @@
     crash_watch& crashes;
     crash_ledger& suspects;
     backend_limits& limits;
+    backend_backoff& backoffs;
     scheduler& timers;
     clock_fn now;
     random_fn random;
@@ -125,6 +128,9 @@
     std::function<std::string(const caller_request&, const attempt_order&)> write_head;
     std::function<backend_answer(const http1::response_head&)> read_answer;
     std::function<void(const exchange_record&)> finished;
+    /// Applies what an answer to a request says about the state of its backend server.
+    std::function<void(const std::string& backend, const backend_answer&, std::string_view request)>
+        answer_seen;
     /// Logs and counts a decision about a request, with the reason for it.
     std::function<void(const exchange_record&, std::string_view decision, std::string_view why)>
         note;
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -3,6 +3,7 @@
 /// interfaces to backend servers, callers and timers.
 
 #include "hickorypost/base/time.h"
+#include "hickorypost/gateway/backend_backoff.h"
 #include "hickorypost/gateway/backend_limits.h"
 #include "hickorypost/gateway/load_balancer.h"
 #include "hickorypost/http1/message.h"
@@ -58,6 +59,8 @@
     std::string request_id;           ///< id of the request that is answered
     std::optional<double> confidence; ///< 0 to 1: how sure the model is of its answer
     limit_statement limit;
+    backoff_statement backoff;
+    bool leaving = false; ///< the backend server is about to shut down
 };
 
 /// Why an attempt ended without a complete answer.
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -271,6 +271,7 @@
     permit_wait_end_ = {};
     crashes_before_ =
         standing() == crash_ledger::standing::unknown ? 0 : services_.suspects.crashes(identity());
+    record_.sent_during_backoff += services_.backoffs.is_backing_off(to.record.id) ? 1 : 0;
     services_.limits.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     target_ = {to.record.id, to.record.address, record_.service,
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -24,6 +24,7 @@
     }
     if (!answer.wrong_backend) {
         services_.limits.saw(record_.backend, answer.limit);
+        services_.answer_seen(record_.backend, answer, request_.id);
     }
     if (!answer.ran) {
         handle_not_executed(answer);
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -122,6 +122,11 @@
                           [this](const limit_change& it) { limit_changes.push_back(it); },
                           [this](const std::string&) { ++unreadable_limits; },
                           [this] { ++permits_requested; }};
+    std::vector<backoff_request> backoff_requests;
+    backend_backoff backoffs{{},
+                             [this] { return timers.now; },
+                             [this](const backoff_request& it) { backoff_requests.push_back(it); }};
+    backoff_statement backoff_in_answers; ///< that each answer states
     fake_caller caller;
     backend_directory directory{{}};
     load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
@@ -142,6 +147,7 @@
         crashes,
         suspects,
         limits,
+        backoffs,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
@@ -156,6 +162,7 @@
         [this](const http1::response_head& head) {
             backend_answer out;
             out.limit = limit_in_answers;
+            out.backoff = backoff_in_answers;
             out.status = head.status;
             out.ran = head.fields.find("X-Ran") != "0";
             out.wrong_backend = head.status == 421;
@@ -165,6 +172,9 @@
             return out;
         },
         [this](const exchange_record& it) { records.push_back(it); },
+        [this](const std::string& backend, const backend_answer& answer, std::string_view request) {
+            backoffs.saw(backend, answer, request);
+        },
         [](const exchange_record&, std::string_view, std::string_view) {}};
     std::unique_ptr<exchange> current;
 };
--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -179,8 +179,9 @@
                 std::any_of(backends.begin(), backends.end(), [&](const auto& backend) {
                     return it.message.starts_with("backend server " + backend + " ");
                 });
-            const bool on_limit =
-                it.line.event.starts_with("backend_limit") && backends.contains(it.backend);
+            const bool on_limit = (it.line.event.starts_with("backend_limit") ||
+                                   it.line.event == "backend_backoff") &&
+                                  backends.contains(it.backend);
             const bool on_domain = it.message.starts_with(evacuation_prefix);
             if ((on_backend || on_limit || on_domain) && it.line.corrected_ms >= from &&
                 it.line.corrected_ms <= to) {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -110,6 +110,9 @@
                                  backend);
               },
               [this] { limit_feed_->schedule_permit_requests(); }},
+      backoffs_{{},
+                env.now,
+                [this](const gateway::backoff_request& it) { journal_.backoff_requested(it); }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -121,6 +124,7 @@
                 crash_watch_,
                 crash_ledger_,
                 limits_,
+                backoffs_,
                 timers_,
                 env.now,
                 env.random,
@@ -132,6 +136,8 @@
                 platform::encode_request,
                 platform::decode_answer,
                 [this](const gateway::exchange_record& record) { journal_.finished(record); },
+                [this](const std::string& backend, const gateway::backend_answer& answer,
+                       std::string_view request) { backoffs_.saw(backend, answer, request); },
                 [this](const gateway::exchange_record& record, std::string_view decision,
                        std::string_view reason) { journal_.decision(record, decision, reason); }}
 {
@@ -178,11 +184,13 @@
         pool_.close_idle(backend);
         balancer_.forget(backend);
         limits_.forget(backend);
+        backoffs_.forget(backend);
     };
     feed_hooks.backend_superseded = [this](const std::string& backend) {
         pool_.close_all(backend);
         balancer_.forget(backend);
         limits_.forget(backend);
+        backoffs_.forget(backend);
     };
     feed_hooks.reaches_leader = [this](const node_id& host) {
         return control_->reaches_leader(host);
@@ -430,6 +438,7 @@
     if (++tick_count_ % ticks_per_second == 0) {
         journal_.tick();
         limits_.expire();
+        backoffs_.expire();
     }
     env_.log->flush();
 }
@@ -494,6 +503,7 @@
     metrics.set("backends_known", static_cast<double>(directory_.size()));
     metrics.set("backends_silent", static_cast<double>(directory_.silent()));
     metrics.set("backends_limited", static_cast<double>(limits_.all().size()));
+    metrics.set("backends_backing_off", static_cast<double>(backoffs_.count()));
     const auto suspects = crash_ledger_.suspects();
     metrics.set("request_suspects", static_cast<double>(suspects.size()));
     metrics.set(
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -88,6 +88,7 @@
     gateway::crash_ledger crash_ledger_;
     gateway::crash_watch crash_watch_;
     gateway::backend_limits limits_;
+    gateway::backend_backoff backoffs_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -73,6 +73,9 @@
     env_.metrics.count("attempts_total", record.attempts);
     env_.metrics.observe("request_seconds",
                          static_cast<double>(record.total.count()) / micros_per_second);
+    if (record.sent_during_backoff > 0) {
+        env_.metrics.count("attempts_during_backoff_total", record.sent_during_backoff);
+    }
     if (record.to_first.count() > 0) {
         env_.metrics.observe("first_answer_seconds",
                              static_cast<double>(record.to_first.count()) / micros_per_second);
@@ -102,6 +105,9 @@
     if (record.limited > 0) {
         line.add("limited", record.limited);
     }
+    if (record.sent_during_backoff > 0) {
+        line.add("sent_during_backoff", record.sent_during_backoff);
+    }
     if (record.retry_after) {
         line.add("retry_after_ms", record.retry_after->count());
     }
@@ -194,6 +200,22 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::backoff_requested(const gateway::backoff_request& backoff)
+{
+    env_.metrics.count(backoff.readable ? "backoffs_requested_total" : "backoffs_invalid_total");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"backend_backoff"};
+    line.add("backend", backoff.backend)
+        .add("request", backoff.request)
+        .add("wait_ms", backoff.wait.count());
+    if (!backoff.readable) {
+        line.add("reason", "Retry-After is not a number of seconds: default time");
+    }
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::lost(const connection_loss& loss)
 {
     const std::string_view by = loss.by_caller ? "caller" : "host";
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -32,6 +32,8 @@
     void crash_refuted(std::string_view backend, std::size_t requests);
     /// Records that a backend server's request limit has begun, changed or ended.
     void limit_changed(const gateway::limit_change& change);
+    /// A backend server has asked this host to send no requests for a time.
+    void backoff_requested(const gateway::backoff_request& backoff);
     /// Records a connection that was closed although its caller may not have received its whole
     /// answer.
     void lost(const connection_loss& loss);
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -95,4 +95,17 @@
     BOOST_TEST(found.lines[0].text.find("per_second=2.4") != std::string::npos);
 }
 
+// Guards against a rejected request whose history does not show what its backend server asked for.
+BOOST_AUTO_TEST_CASE(history_shows_backoffs_of_the_backends_of_a_request)
+{
+    const std::string log =
+        line("a", "10.000",
+             R"("event":"backend_backoff","backend":"i-1","request":"p","wait_ms":3000)") +
+        line("a", "11.000", R"("event":"request_ended","request":"q","backend":"i-1")");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 2U);
+    BOOST_TEST(found.lines[0].text.find("request=p") != std::string::npos);
+    BOOST_TEST(found.lines[0].text.find("wait_ms=3000") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
