[gateway] Sends no requests to backend servers that have asked for none

What callers saw: with 4 of 12 backend servers turning everything away, 149 of 683 requests on the model routes were refused or failed while 8 had room.

Cause: Retry-After of a rejection was not used. A rejected attempt made its backend server more expensive for 60 ms, whatever the server had said; a cost only ranks, and a server that rejects everything has no load, so it was the cheapest again.

Change: exchange::selectable_backends excludes backend servers that are backing off, for first attempts, retries, escalations, resumed streams and failover alike, after the version has been chosen; only requests without a session leave a version on trial for that. Probes are not sent either. Where all back off, a request waits up to 100 ms or is rejected at once with the time until the first is available, which also goes out when a request was rejected by the last of them. has_room_elsewhere counts only backend servers that the request may be sent to, also without limits.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -38,6 +38,9 @@
     /// the host that grants permits takes to reply.
     millis permit_wait{45};
     millis permit_poll{15}; ///< interval of looking for a permit
+    /// Where all backend servers have asked for no requests, a request waits this long for the
+    /// first of them to be available, and is rejected at once if that takes longer.
+    millis backoff_wait{100};
     /// Time without an event after which a resumable stream fails over, as a multiple of the
     /// route's target for the first event or the gap between events.
     double silence_factor = 2.0;
@@ -92,6 +95,9 @@
     std::uint32_t attempts = 0;
     std::uint32_t candidates = 0; ///< backend servers that the last attempt could choose from
     std::uint32_t limited = 0;    ///< of the candidates, those without room under their limit
+    /// Backend servers that the last attempt could not use because they had asked this host to back
+    /// off, and the time until they are available.
+    std::vector<std::pair<std::string, millis>> backing_off;
     /// Attempts sent to a backend server while it had asked this host to back off.
     std::uint32_t sent_during_backoff = 0;
     std::optional<millis> retry_after; ///< as sent to the caller
@@ -202,9 +208,17 @@
     void request_permits();
     /// Whether a backend server that has not been tried, other than `except`, has room.
     bool has_room_elsewhere(std::string_view except);
+    [[nodiscard]] bool was_tried(const backend_entry& it) const;
     /// Backend servers of the request's service that may get work, those that warm up limited to
     /// the rate of the configuration.
     std::vector<const backend_entry*> usable_backends();
+    /// Of these, the ones of the request's version that are not backing off. Every attempt is sent
+    /// to one of them.
+    std::vector<const backend_entry*> selectable_backends();
+    /// Polls for a backend server that is backing off. False if that takes too long.
+    bool wait_for_backoff();
+    /// Time until the first of the service's backend servers is available; empty if one is now.
+    [[nodiscard]] std::optional<millis> backoff_left() const;
     /// Polls for a permit. False if the request has waited long enough.
     bool wait_for_permit();
     void reject_for_limits();
@@ -271,7 +285,9 @@
     std::vector<std::string> tried_backends_;
     std::vector<std::string> limited_backends_; ///< not tried because their limits have no room
     instant permit_wait_end_;
-    std::optional<millis> retry_after_; ///< time until a limited backend server has room
+    std::vector<std::string> backing_off_; ///< not tried because they are backing off
+    instant backoff_wait_end_;
+    std::optional<millis> retry_after_; ///< time until a backend server has room
     instant attempt_started_at_;
     instant attempt_first_event_at_;          ///< the epoch: no event yet
     std::uint64_t attempt_event_count_ = 0;   ///< not counting the first event
--- a/modules/gateway/include/hickorypost/gateway/rollout_view.h
+++ b/modules/gateway/include/hickorypost/gateway/rollout_view.h
@@ -68,6 +68,8 @@
     /// version through the first half of a roll-out.
     void choose_version(const std::string& service, const std::string& session,
                         std::vector<const backend_entry*>& candidates, instant now);
+    /// Whether the version is the target of a running roll-out.
+    [[nodiscard]] bool is_on_trial(const std::string& service, std::string_view version) const;
     /// Counts an answer, and compares its response time with the old version's.
     void saw(const answer_sample& answer);
     /// Records how quickly a version answers. `pace` is the mean interval between a stream's first
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -189,15 +189,12 @@
 
 void exchange::try_attempt()
 {
-    const instant now = services_.now();
     const auto suspicion = standing();
     if (suspicion == crash_ledger::standing::refused) {
         reject_as_crashing();
         return;
     }
-    auto candidates = usable_backends();
-    services_.rollouts.choose_version(record_.service, request_.session, candidates, now);
-    record_.candidates = static_cast<std::uint32_t>(candidates.size());
+    auto candidates = selectable_backends();
     job_size job = current_job();
     job.suspect =
         suspicion == crash_ledger::standing::suspect || suspicion == crash_ledger::standing::trial;
@@ -208,12 +205,18 @@
         }
         return;
     }
+    if (to == nullptr && !backing_off_.empty()) {
+        if (!wait_for_backoff()) {
+            abort("all backend servers have asked for no requests");
+        }
+        return;
+    }
     if (to == nullptr && services_.directory.is_fully_evacuated(record_.service)) {
         retry_after_ = services_.settings.evacuated_retry_after;
         abort("the failure domains of all backend servers are evacuated");
         return;
     }
-    if (to == nullptr && candidates.empty() && wait_for_backends()) {
+    if (to == nullptr && record_.candidates == 0 && wait_for_backends()) {
         return;
     }
     if (to == nullptr) {
@@ -269,10 +272,12 @@
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::awaiting_head;
     events_.restart();
     permit_wait_end_ = {};
+    backoff_wait_end_ = {};
     crashes_before_ =
         standing() == crash_ledger::standing::unknown ? 0 : services_.suspects.crashes(identity());
     record_.sent_during_backoff += services_.backoffs.is_backing_off(to.record.id) ? 1 : 0;
     services_.limits.sent(to.record.id);
+    services_.backoffs.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     target_ = {to.record.id, to.record.address, record_.service,
                service_ == nullptr ? 0 : service_->max_connections};
@@ -361,6 +366,9 @@
     const auto& settings = services_.settings;
     std::optional<millis> wait;
     if (status == status_unavailable) {
+        if (!retry_after_) {
+            retry_after_ = backoff_left();
+        }
         const double fraction = unit_random(services_.random);
         const auto jitter = static_cast<double>(settings.retry_after_jitter.count()) * fraction;
         wait = retry_after_.value_or(settings.min_retry_after) +
--- a/modules/gateway/src/exchange_limits.cpp
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -27,6 +27,74 @@
     return out;
 }
 
+bool exchange::was_tried(const backend_entry& it) const
+{
+    return std::find(tried_backends_.begin(), tried_backends_.end(), it.record.id) !=
+           tried_backends_.end();
+}
+
+std::vector<const backend_entry*> exchange::selectable_backends()
+{
+    const instant now = services_.now();
+    const auto& backoffs = services_.backoffs;
+    const auto unavailable = [&](const backend_entry* it) {
+        return !backoffs.is_available(it->record.id);
+    };
+    const auto usable = usable_backends();
+    auto out = usable;
+    services_.rollouts.choose_version(record_.service, request_.session, out, now);
+    record_.candidates = static_cast<std::uint32_t>(out.size());
+    record_.backing_off.clear();
+    backing_off_.clear();
+    for (const auto* const it : out) {
+        if (unavailable(it)) {
+            record_.backing_off.emplace_back(it->record.id, backoffs.available_in(it->record.id));
+            if (!was_tried(*it)) {
+                backing_off_.push_back(it->record.id);
+            }
+        }
+    }
+    const std::string version = out.empty() ? std::string{} : out.front()->record.version;
+    std::erase_if(out, unavailable);
+    if (out.empty() && request_.session.empty() &&
+        services_.rollouts.is_on_trial(record_.service, version)) {
+        // Without a session, a request need not stay on the version on trial.
+        out = usable;
+        std::erase_if(out, unavailable);
+        services_.rollouts.choose_version(record_.service, request_.session, out, now);
+    }
+    return out;
+}
+
+bool exchange::wait_for_backoff()
+{
+    const auto& settings = services_.settings;
+    const instant now = services_.now();
+    if (backoff_wait_end_ == instant{}) {
+        backoff_wait_end_ = now + settings.backoff_wait;
+    }
+    const auto left = services_.backoffs.first_available_in(backing_off_);
+    const instant due = now + left.value_or(millis{0});
+    if (due > backoff_wait_end_ || due + settings.min_attempt_time > deadline_) {
+        return false;
+    }
+    silence_timer_ = services_.timers.add(due, [this] {
+        silence_timer_ = 0;
+        try_attempt();
+    });
+    return true;
+}
+
+std::optional<millis> exchange::backoff_left() const
+{
+    std::vector<std::string> backends;
+    for (const auto* const it : services_.directory.usable(record_.service, services_.now())) {
+        backends.push_back(it->record.id);
+    }
+    const auto out = services_.backoffs.first_available_in(backends);
+    return out && *out > millis{0} ? out : std::nullopt;
+}
+
 const backend_entry* exchange::choose(std::vector<const backend_entry*>& candidates,
                                       const job_size& job)
 {
@@ -40,8 +108,7 @@
     limits.request_permit(best->record.id, priority());
     std::erase_if(candidates, [&](const backend_entry* it) {
         const bool full = !limits.has_room(it->record.id, priority());
-        if (full && std::find(tried_backends_.begin(), tried_backends_.end(), it->record.id) ==
-                        tried_backends_.end()) {
+        if (full && !was_tried(*it)) {
             limited_backends_.push_back(it->record.id);
         }
         return full;
@@ -68,14 +135,9 @@
     if (services_.directory.is_fully_evacuated(record_.service)) {
         return false;
     }
-    if (limits.empty()) {
-        return true;
-    }
     limited_backends_.clear();
-    for (const auto* const it : usable_backends()) {
-        const bool tried = std::find(tried_backends_.begin(), tried_backends_.end(),
-                                     it->record.id) != tried_backends_.end();
-        if (tried || it->record.id == except) {
+    for (const auto* const it : selectable_backends()) {
+        if (was_tried(*it) || it->record.id == except) {
             continue;
         }
         if (limits.has_room(it->record.id, priority())) {
@@ -109,6 +171,9 @@
     services_.limits.note_rejection(priority());
     record_.limited = static_cast<std::uint32_t>(limited_backends_.size());
     retry_after_ = services_.limits.room_in(limited_backends_);
+    if (const auto left = services_.backoffs.first_available_in(backing_off_)) {
+        retry_after_ = std::min(*retry_after_, *left);
+    }
     abort("all backend servers have reached their limits");
 }
 
--- a/modules/gateway/src/exchange_silence.cpp
+++ b/modules/gateway/src/exchange_silence.cpp
@@ -61,6 +61,9 @@
 
 void exchange::probe_backend()
 {
+    if (services_.backoffs.is_backing_off(target_.backend)) {
+        return; // it has asked for no requests, and a probe is one
+    }
     probe_id_ = services_.liveness.start(target_, [this](bool alive) {
         probe_id_ = 0;
         if (!alive) {
--- a/modules/gateway/src/rollout_view.cpp
+++ b/modules/gateway/src/rollout_view.cpp
@@ -257,6 +257,14 @@
     }
 }
 
+bool rollout_view::is_on_trial(const std::string& service, std::string_view version) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.known &&
+           found->second.status.phase == rollout_phase::running &&
+           found->second.status.target == version;
+}
+
 void rollout_view::saw(const answer_sample& answer)
 {
     const auto& version = answer.version;
--- a/modules/gateway/tests/backend_backoff_test.cpp
+++ b/modules/gateway/tests/backend_backoff_test.cpp
@@ -20,8 +20,10 @@
 struct backoff_host {
     instant now{millis{100'000}};
     std::vector<backoff_request> requests;
-    backend_backoff backoffs{
-        {}, [this] { return now; }, [this](const backoff_request& it) { requests.push_back(it); }};
+    backend_backoff backoffs{{},
+                             [this] { return now; },
+                             seeded_random_fn(8),
+                             [this](const backoff_request& it) { requests.push_back(it); }};
 };
 
 } // namespace
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -43,7 +43,8 @@
     }
 
     /// Starts a request on the route after `change` has been applied to it.
-    exchange& ask(const std::function<void(route_spec&)>& change, millis wait = millis{4000})
+    exchange& ask(const std::function<void(route_spec&)>& change, millis wait = millis{4000},
+                  const std::string& session = {})
     {
         asked_route = table->config().routes.front();
         change(asked_route);
@@ -53,6 +54,7 @@
         request.target = "/x";
         request.wait = wait;
         request.any_model = !asked_route.models.empty();
+        request.session = session;
         request.arrived = timers.now;
         current = std::make_unique<exchange>(services, caller, std::move(request), table,
                                              asked_route, nullptr);
@@ -125,6 +127,7 @@
     std::vector<backoff_request> backoff_requests;
     backend_backoff backoffs{{},
                              [this] { return timers.now; },
+                             seeded_random_fn(8),
                              [this](const backoff_request& it) { backoff_requests.push_back(it); }};
     backoff_statement backoff_in_answers; ///< that each answer states
     fake_caller caller;
--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -19,6 +19,8 @@
     std::string request;
     std::string backend;
     std::string identity;
+    std::vector<std::string> backing_off; ///< backend servers
+    std::int64_t wait_ms = 0;             ///< of a `backend_backoff` line
 };
 
 /// Where one process's clock was against the reference, at one of its lines.
@@ -42,6 +44,18 @@
     return static_cast<std::int64_t>(timegm(&it)) * millis_per_second + part;
 }
 
+/// Returns the ids in a list of ID:MS.
+std::vector<std::string> parse_backing_off(std::string_view text)
+{
+    std::vector<std::string> out;
+    while (!text.empty()) {
+        const auto entry = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(entry.size() + 1, text.size()));
+        out.emplace_back(entry.substr(0, entry.rfind(':')));
+    }
+    return out;
+}
+
 std::optional<parsed_line> parse_line(const std::string& text)
 {
     const auto at = text.find('{');
@@ -72,6 +86,10 @@
             out.backend = shown;
         } else if (name == "identity") {
             out.identity = shown;
+        } else if (name == "backing_off") {
+            out.backing_off = parse_backing_off(shown);
+        } else if (name == "wait_ms" && field.is_number_integer()) {
+            out.wait_ms = field.get<std::int64_t>();
         }
         const bool has_column =
             name == "time" || name == "node" || name == "event" || name == "level";
@@ -156,6 +174,9 @@
             if (of_request && !it.backend.empty()) {
                 backends.insert(it.backend);
             }
+            if (of_request) {
+                backends.insert(it.backing_off.begin(), it.backing_off.end());
+            }
             // The other attempts of its callers, as far as they crashed backend servers.
             const bool of_equal =
                 it.line.event == "request_crashed" && equal_requests.contains(it.identity);
@@ -183,8 +204,9 @@
                                    it.line.event == "backend_backoff") &&
                                   backends.contains(it.backend);
             const bool on_domain = it.message.starts_with(evacuation_prefix);
-            if ((on_backend || on_limit || on_domain) && it.line.corrected_ms >= from &&
-                it.line.corrected_ms <= to) {
+            // A backoff that was asked for earlier may still have been in force.
+            if ((on_backend || on_limit || on_domain) &&
+                it.line.corrected_ms + it.wait_ms >= from && it.line.corrected_ms <= to) {
                 out.push_back(it.line);
             }
         }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -112,6 +112,7 @@
               [this] { limit_feed_->schedule_permit_requests(); }},
       backoffs_{{},
                 env.now,
+                env.random,
                 [this](const gateway::backoff_request& it) { journal_.backoff_requested(it); }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -36,6 +36,17 @@
     return "unknown";
 }
 
+/// Formats as ID:MS, separated by commas.
+std::string format_backoffs(const std::vector<std::pair<std::string, millis>>& backoffs)
+{
+    std::string out;
+    for (const auto& [backend, left] : backoffs) {
+        out.append(out.empty() ? "" : ",").append(backend).append(":");
+        out.append(std::to_string(left.count()));
+    }
+    return out;
+}
+
 std::string requests_total_key(std::string_view name, const gateway::exchange_record& record)
 {
     std::string out{name};
@@ -105,6 +116,9 @@
     if (record.limited > 0) {
         line.add("limited", record.limited);
     }
+    if (failure && !record.backing_off.empty()) {
+        line.add("backing_off", format_backoffs(record.backing_off));
+    }
     if (record.sent_during_backoff > 0) {
         line.add("sent_during_backoff", record.sent_during_backoff);
     }
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -108,4 +108,18 @@
     BOOST_TEST(found.lines[0].text.find("wait_ms=3000") != std::string::npos);
 }
 
+// Guards against a request that reached no backend server and whose history does not show why.
+BOOST_AUTO_TEST_CASE(history_of_a_request_without_attempts_shows_the_backoffs_in_force)
+{
+    const std::string log =
+        line("a", "10.000",
+             R"("event":"backend_backoff","backend":"i-1@5","request":"p","wait_ms":20000)") +
+        line("a", "10.000", R"("event":"backend_backoff","backend":"i-2","wait_ms":100)") +
+        line("a", "25.000",
+             R"("event":"request_ended","request":"q","backing_off":"i-1@5:5000,i-2:1")");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 2U);
+    BOOST_TEST(found.lines[0].text.find("backend=i-1@5") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
