[gateway] Sends no new work to backend servers whose answers say that they leave

What callers saw: nothing yet; a stand-in that says Server-Leaving: 1 in each answer while its heartbeats say ready got 65 requests later than 2 s after that. The same class as the requests in a backoff: what a backend server says in an answer was not used, only what its heartbeats say.

Change: such an incarnation counts as draining at this host at once and is broadcast to all hosts in the message for heartbeat records, so old hosts can read it. Draining is final within an incarnation, so a draining record now also applies where the same or a newer heartbeat is known; before, other hosts would have ignored it as stale. Requests in flight go on. Answers to liveness probes count too; probes name the expected backend server, so that another one at a reused address answers 421 and is not believed.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -100,6 +100,9 @@
     /// heartbeat that the prober knew. Counts until the next heartbeat. Returns true if not
     /// recorded before.
     bool take_probe_failure(std::string_view id, std::uint64_t sequence, std::string_view domain);
+    /// Marks an incarnation as draining because it says so itself, whatever its heartbeats say.
+    /// Returns its record, to be forwarded; null if it is unknown or known to be draining.
+    const backend_record* mark_draining(std::string_view id);
     /// Removes an incarnation that has shut down or was found to be absent from its address.
     bool remove(std::string_view id, instant now);
     /// Returns the incarnations that a newer start under the same name has replaced since the last
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -102,6 +102,7 @@
     std::string address;
     std::string service;
     std::uint32_t max_connections = 0; ///< that the backend server accepts from all hosts together
+    std::string name; ///< of the backend server, by which it tells whether a request is for it
 };
 
 /// Sends requests to backend servers and owns the connections.
--- a/modules/gateway/include/hickorypost/gateway/liveness_probe.h
+++ b/modules/gateway/include/hickorypost/gateway/liveness_probe.h
@@ -31,9 +31,12 @@
     using write_fn = std::function<std::string(const attempt_target& to)>;
     /// Called for each backend server that failed its probe.
     using unresponsive_fn = std::function<void(const std::string& backend)>;
+    /// Called with the head of each answer to a probe.
+    using answered_fn =
+        std::function<void(const std::string& backend, const http1::response_head& head)>;
 
     liveness_probe(probe_settings settings, attempt_port& backends, scheduler& timers, clock_fn now,
-                   write_fn write_probe, unresponsive_fn on_unresponsive);
+                   write_fn write_probe, unresponsive_fn on_unresponsive, answered_fn on_answered);
     ~liveness_probe();
     liveness_probe(const liveness_probe&) = delete;
     liveness_probe& operator=(const liveness_probe&) = delete;
@@ -60,6 +63,7 @@
     clock_fn now_;
     write_fn write_probe_;
     unresponsive_fn on_unresponsive_;
+    answered_fn on_answered_;
     std::map<std::string, std::unique_ptr<probe>> probes_; ///< by incarnation
     std::map<std::string, instant> last_answer_at_;        ///< by incarnation
     std::vector<subscriber> notifying_;                    ///< to be notified by `finish_probe`
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -34,14 +34,17 @@
     }
     const auto [at, is_new] = entries_.try_emplace(record.id);
     backend_entry& it = at->second;
-    if (!is_new && record.sequence <= it.record.sequence) {
-        return change::none;
-    }
     // An incarnation never changes its service. A record of another service with the same id comes
     // from a foreign or faulty sender; if applied, a working backend server would get no more work.
     if (!is_new && record.service != it.record.service) {
         return change::none;
     }
+    if (!is_new && record.sequence <= it.record.sequence) {
+        // Another host may have learned from an answer that the backend server drains, and forwards
+        // that with the newest heartbeat that it knows.
+        const bool drains = record.state == backend_state::draining && mark_draining(record.id);
+        return drains ? change::changed : change::none;
+    }
     // Draining is final within an incarnation; an earlier heartbeat that arrives over another path
     // must not direct work to the backend server again.
     const bool is_draining = !is_new && it.record.state == backend_state::draining;
@@ -192,6 +195,16 @@
     }
 }
 
+const backend_record* backend_directory::mark_draining(std::string_view id)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.record.state == backend_state::draining) {
+        return nullptr;
+    }
+    found->second.record.state = backend_state::draining;
+    return &found->second.record;
+}
+
 bool backend_directory::remove(std::string_view id, instant now)
 {
     return add_tombstone(id, {now, {}, 0, 0});
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -280,7 +280,7 @@
     services_.backoffs.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     target_ = {to.record.id, to.record.address, record_.service,
-               service_ == nullptr ? 0 : service_->max_connections};
+               service_ == nullptr ? 0 : service_->max_connections, to.record.name};
     current_attempt_ = services_.backends.start(target_, services_.write_head(request_, order),
                                                 request_.body, request_.method == "HEAD", *this);
     restart_silence_timer();
--- a/modules/gateway/src/liveness_probe.cpp
+++ b/modules/gateway/src/liveness_probe.cpp
@@ -26,9 +26,10 @@
     probe(const probe&) = delete;
     probe& operator=(const probe&) = delete;
 
-    bool on_head(http1::response_head&) override
+    bool on_head(http1::response_head& head) override
     {
         alive_ = true;
+        owner_.on_answered_(backend_, head);
         owner_.last_answer_at_[backend_] = owner_.now_();
         return true;
     }
@@ -65,9 +66,11 @@
 };
 
 liveness_probe::liveness_probe(probe_settings settings, attempt_port& backends, scheduler& timers,
-                               clock_fn now, write_fn write_probe, unresponsive_fn on_unresponsive)
+                               clock_fn now, write_fn write_probe, unresponsive_fn on_unresponsive,
+                               answered_fn on_answered)
     : settings_{settings}, backends_{backends}, timers_{timers}, now_{std::move(now)},
-      write_probe_{std::move(write_probe)}, on_unresponsive_{std::move(on_unresponsive)}
+      write_probe_{std::move(write_probe)}, on_unresponsive_{std::move(on_unresponsive)},
+      on_answered_{std::move(on_answered)}
 {
 }
 
--- a/modules/gateway/tests/backend_directory_test.cpp
+++ b/modules/gateway/tests/backend_directory_test.cpp
@@ -222,4 +222,38 @@
     BOOST_TEST(usable(it).size() == 1U);
 }
 
+// Guards against a backend server that says in an answer that it is leaving and gets work again
+// because of a heartbeat that was sent before or says that it is ready.
+BOOST_AUTO_TEST_CASE(later_heartbeats_do_not_undo_a_departure_told_in_an_answer)
+{
+    backend_directory it{{}};
+    it.take(heartbeat("b", 1000, 5), start);
+    BOOST_REQUIRE(it.mark_draining("b@1000") != nullptr);
+    BOOST_TEST(it.mark_draining("b@1000") == nullptr);
+    BOOST_TEST(it.mark_draining("unknown") == nullptr);
+    BOOST_TEST(usable(it).empty());
+    it.take(heartbeat("b", 1000, 6), start);
+    it.touch("b@1000", 7, start);
+    BOOST_TEST(usable(it).empty());
+    it.take(heartbeat("b", 2000, 1), start);
+    BOOST_TEST(usable(it) == std::vector<std::string>{"b@2000"}, boost::test_tools::per_element());
+}
+
+// Guards against other hosts that ignore such a departure as they know the same or a newer
+// heartbeat.
+BOOST_AUTO_TEST_CASE(departure_told_in_an_answer_reaches_hosts_with_newer_heartbeats)
+{
+    backend_directory teller{{}};
+    teller.take(heartbeat("b", 1000, 5), start);
+    const backend_record forwarded = *teller.mark_draining("b@1000");
+    for (const std::uint64_t known : {4U, 5U, 6U}) {
+        backend_directory it{{}};
+        it.take(heartbeat("b", 1000, known), start);
+        BOOST_TEST((it.take(forwarded, start) == backend_directory::change::changed));
+        BOOST_TEST((it.take(forwarded, start) == backend_directory::change::none));
+        BOOST_TEST(usable(it).empty());
+        BOOST_TEST(it.find("b@1000")->record.sequence == std::max<std::uint64_t>(known, 5));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/exchange_silence_test.cpp
+++ b/modules/gateway/tests/exchange_silence_test.cpp
@@ -166,4 +166,19 @@
     BOOST_TEST(it.probes.attempts.empty());
 }
 
+// Guards against losing what the answer to a probe says about its backend server.
+BOOST_AUTO_TEST_CASE(answers_to_probes_are_passed_on)
+{
+    one_gateway it;
+    begin_stream_on_engine(it);
+    it.timers.run_for(millis{700});
+    BOOST_REQUIRE(it.probes.attempts.size() == 1U);
+    http1::response_head head;
+    head.status = 503;
+    it.probes.last().events->on_head(head);
+    BOOST_REQUIRE(it.probe_answers.size() == 1U);
+    BOOST_TEST(it.probe_answers.front().first == it.backends.last().target.backend);
+    BOOST_TEST(it.probe_answers.front().second == 503U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -94,12 +94,16 @@
     fake_backends backends;
     fake_backends probes;
     std::vector<std::string> found_unresponsive;
+    std::vector<std::pair<std::string, unsigned>> probe_answers;
     liveness_probe liveness{{},
                             probes,
                             timers,
                             [this] { return timers.now; },
                             [](const attempt_target&) { return std::string{"alive?"}; },
-                            [this](const std::string& it) { found_unresponsive.push_back(it); }};
+                            [this](const std::string& it) { found_unresponsive.push_back(it); },
+                            [this](const std::string& backend, const http1::response_head& head) {
+                                probe_answers.emplace_back(backend, head.status);
+                            }};
     fake_dials dials{timers};
     crash_ledger suspects{{}, [this] { return timers.now; }, [](const crash_fact&) {}};
     std::vector<crashed_attempt> crashed;
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -138,6 +138,16 @@
     }
 }
 
+void backend_feed::report_leaving(const std::string& backend)
+{
+    if (const auto* const record = directory_.mark_draining(backend)) {
+        env_.log->info("backend server {} says in an answer that it is leaving", backend);
+        env_.metrics.count("backends_leaving_by_answer_total");
+        on_record_changed(*record);
+        broadcast(wire::backend_update{{wire::encode(*record)}, {}}, mesh_.self());
+    }
+}
+
 void backend_feed::on_probe_failure(const node_id& from, const wire::probe_failure& failure)
 {
     // Between two heartbeats of a backend server at most one failure per failure domain is passed
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -51,6 +51,9 @@
     /// Broadcasts that a backend server has failed this host's liveness probe: all hosts avoid it
     /// until its next heartbeat.
     void report_probe_failure(const std::string& backend);
+    /// Broadcasts that a backend server has said in an answer to this host that it shuts down: no
+    /// host sends it new work, although its heartbeats may still say that it is ready.
+    void report_leaving(const std::string& backend);
     /// Broadcasts evidence that a request crashes backend servers, or that it does not. Facts of
     /// the same main loop iteration are sent in one message.
     void broadcast_crash_fact(const gateway::crash_fact& fact);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -71,7 +71,12 @@
           timers_,
           env.now,
           platform::encode_liveness_probe,
-          [this](const std::string& backend) { backend_feed_->report_probe_failure(backend); }},
+          [this](const std::string& backend) { backend_feed_->report_probe_failure(backend); },
+          [this](const std::string& backend, const http1::response_head& head) {
+              if (const auto answer = platform::decode_answer(head); !answer.wrong_backend) {
+                  on_backend_answer(backend, answer, {});
+              }
+          }},
       crash_ledger_{
           {},
           env.now,
@@ -138,7 +143,7 @@
                 platform::decode_answer,
                 [this](const gateway::exchange_record& record) { journal_.finished(record); },
                 [this](const std::string& backend, const gateway::backend_answer& answer,
-                       std::string_view request) { backoffs_.saw(backend, answer, request); },
+                       std::string_view request) { on_backend_answer(backend, answer, request); },
                 [this](const gateway::exchange_record& record, std::string_view decision,
                        std::string_view reason) { journal_.decision(record, decision, reason); }}
 {
@@ -395,6 +400,16 @@
     }
 }
 
+void gateway_role::on_backend_answer(const std::string& backend,
+                                     const gateway::backend_answer& answer,
+                                     std::string_view request)
+{
+    backoffs_.saw(backend, answer, request);
+    if (answer.leaving) {
+        backend_feed_->report_leaving(backend);
+    }
+}
+
 bool gateway_role::shutdown_expected(const gateway::attempt_target& target) const
 {
     const auto* const entry = directory_.find(target.backend);
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -65,6 +65,9 @@
     void on_state_changed(const gateway::site_state& state);
     void apply_config(const gateway::site_state& state);
     void apply_evacuations(const gateway::site_state& state);
+    /// Applies what the answer to a request, or to a liveness probe, says about its backend server.
+    void on_backend_answer(const std::string& backend, const gateway::backend_answer& answer,
+                           std::string_view request);
     /// Whether the backend server is expected to end: it is draining or has left, or a completed
     /// roll-out has replaced its version.
     [[nodiscard]] bool shutdown_expected(const gateway::attempt_target& target) const;
