[gateway] Backs off longer from a backend server with each rejection that names no time

Cause: a rejection made the backend server dearer for 60 ms, each time the same. A server that rejects everything has no load, so it attracted each next request, its retries too, until the attempts of the route were used up.

Change: the backoff doubles with each rejection up to 2 s and ends with the first accepted request; after two rejections in a row attempts go one at a time. It remains a cost, as no time was asked for: such a server is used where no other is left.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -89,6 +89,11 @@
     /// `longest_probation`.
     millis first_probation{400};
     millis longest_probation{5000};
+    /// Backoff after a backend server has rejected a request without naming a time. Doubles with
+    /// each further rejection until it accepts a request, up to `max_saturation_backoff`: a backend
+    /// server that rejects everything has no load and would attract requests otherwise.
+    millis first_saturation_backoff{60};
+    millis max_saturation_backoff{2000};
     /// Weight of the newest result in a backend server's moving-average failure ratio.
     double failure_weight = 0.1;
     /// A backend server whose failure ratio exceeds the mean of all candidates by more than this is
@@ -161,6 +166,7 @@
         instant last_request_at;   ///< when the last request was sent
         std::uint32_t consecutive_unreachable = 0;
         instant probation_until;
+        std::uint32_t consecutive_rejections = 0;
         instant saturated_until;
         std::unordered_map<std::uint64_t, instant> parts; ///< last use, by `part_key`
     };
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -17,8 +17,8 @@
 /// Weight of the newest sample in the moving averages of service time and slot time.
 constexpr double sample_weight = 0.1;
 constexpr double micros_per_milli = 1000;
-/// Time for which a backend server that refused a request for lack of capacity is avoided.
-constexpr millis saturation_backoff{60};
+/// Doublings of a backoff beyond which every upper bound has been reached.
+constexpr std::uint32_t max_doublings = 10;
 /// Cost of a backend server on probation or saturated: high enough that it is used only where no
 /// other is left.
 constexpr double unavailable_cost_ms = 1e6;
@@ -30,6 +30,12 @@
     return hash_bytes(model, part.id);
 }
 
+/// A backoff that starts at `first` and doubles with each of `failures` before, up to `longest`.
+millis grown_backoff(millis first, millis longest, std::uint32_t failures)
+{
+    return std::min(first * (1U << std::min(failures, max_doublings)), longest);
+}
+
 /// Factor of an exponential decay after `idle`.
 double decay(micros idle, millis half_life)
 {
@@ -231,6 +237,10 @@
         // One attempt at a time while on probation.
         load.probation_until = now + settings_.longest_probation;
     }
+    if (load.consecutive_rejections > 1) {
+        // One attempt at a time until it is known whether the backend server still rejects.
+        load.saturated_until = now + settings_.first_saturation_backoff;
+    }
     return {on.record.id, prefill, job.prompt_tokens > 0, false, now, on.record.failure_domain,
             false};
 }
@@ -247,6 +257,8 @@
     changed_(it.backend, {load.requests, load.prefill_ms});
     load.consecutive_unreachable = 0;
     load.probation_until = {};
+    load.consecutive_rejections = 0;
+    load.saturated_until = {};
     if (!it.streaming) {
         const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
         const double weight = 1 - (1 - sample_weight) * load.service_weight;
@@ -291,13 +303,16 @@
         record_outcome(1);
         break;
     case attempt_result::refused:
-        load.saturated_until = now + saturation_backoff;
+        load.saturated_until =
+            now + grown_backoff(settings_.first_saturation_backoff,
+                                settings_.max_saturation_backoff, load.consecutive_rejections);
+        ++load.consecutive_rejections;
         break;
     case attempt_result::unreachable: {
         record_outcome(1);
-        const auto grown =
-            settings_.first_probation * (1U << std::min(load.consecutive_unreachable, 5U));
-        load.probation_until = now + std::min(grown, settings_.longest_probation);
+        load.probation_until =
+            now + grown_backoff(settings_.first_probation, settings_.longest_probation,
+                                load.consecutive_unreachable);
         ++load.consecutive_unreachable;
         break;
     }
--- a/modules/gateway/tests/load_balancer_test.cpp
+++ b/modules/gateway/tests/load_balancer_test.cpp
@@ -193,4 +193,43 @@
     BOOST_TEST(slow < 24);
 }
 
+/// Sends a request to one of two backend servers every 50 ms for 10 s. Returns how many went to e0,
+/// which rejects them until `recovered`.
+int requests_to_rejecting_backend(instant recovered, instant count_from)
+{
+    engine_pool servers{2};
+    int out = 0;
+    for (instant now = start; now < start + millis{10'000}; now += millis{50}) {
+        servers.directory.touch("e0", static_cast<std::uint64_t>(now.time_since_epoch().count()),
+                                now);
+        servers.directory.touch("e1", static_cast<std::uint64_t>(now.time_since_epoch().count()),
+                                now);
+        const std::string id = servers.choose({}, now);
+        auto it = servers.balancer.started(*servers.directory.find(id), {}, now);
+        const bool rejects = id == "e0" && now < recovered;
+        if (!rejects) {
+            servers.balancer.on_first_event(it, now + millis{12});
+        }
+        servers.balancer.ended(it, rejects ? attempt_result::refused : attempt_result::answered,
+                               now + millis{12});
+        out += id == "e0" && now >= count_from ? 1 : 0;
+    }
+    return out;
+}
+
+// Guards against a backend server that rejects everything and attracts requests, as it has no load.
+BOOST_AUTO_TEST_CASE(rejecting_backend_gets_ever_fewer_requests)
+{
+    BOOST_TEST(requests_to_rejecting_backend(start + millis{10'000}, start) <= 12);
+}
+
+// Guards against a backend server that stays avoided after it accepts requests again.
+BOOST_AUTO_TEST_CASE(backend_gets_its_share_again_once_it_accepts_requests)
+{
+    const instant recovered = start + millis{5000};
+    const instant noticed = recovered + balancer_settings{}.max_saturation_backoff;
+    // Half of 60 requests are its share.
+    BOOST_TEST(requests_to_rejecting_backend(recovered, noticed) >= 25);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
