[gateway] Drops the unsent bytes of requests that are closed

A request that had not been sent and was reported as such (not_sent, which promises that it has not run) or that was cancelled could still reach its backend server. tcp_stream::abort drops buffered bytes. The test backend_pool_suite/request_is_withheld_if_its_backend_backs_off_before_the_connection_is_open failed without it.

--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -57,6 +57,8 @@
     void write(std::string_view bytes);
     /// Sends buffered bytes as far as the kernel takes them, then closes.
     void close();
+    /// Closes without sending what is buffered.
+    void abort();
     /// Stops or resumes reading. The peer's close is reported in both cases.
     void set_reading(bool on);
 
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -186,6 +186,13 @@
     release();
 }
 
+void tcp_stream::abort()
+{
+    set_hooks({});
+    out_.clear();
+    release();
+}
+
 void tcp_stream::shut_down_output() const
 {
     if (fd_ >= 0) {
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -130,9 +130,9 @@
     void close()
     {
         if (stream_) {
-            // Removes the hooks first, so that late events never reach the next request.
-            stream_->set_hooks({});
-            stream_->close();
+            // Removes the hooks, so that late events never reach the next request, and drops unsent
+            // bytes: a request that is reported as not sent must not be sent.
+            stream_->abort();
         }
     }
 
