[gateway] Decides again about requests that waited for a connection

A request that had been assigned to a backend server and waited for its connection (up to 500 ms) was sent when that opened, although the backend server had asked for no requests meanwhile. It is now withheld and goes elsewhere: it counts as not sent, and its backend server neither as unreachable nor as crashed. Tests: backend_pool_suite, which fails without the change, and exchange_backoff/withheld_request_is_sent_elsewhere.

--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -67,8 +67,11 @@
 enum class attempt_fault : std::uint8_t {
     not_sent, ///< no byte of the request left this process, so it did not run
     no_room,  ///< not sent either: this process uses all connections that it may have there
-    silent,   ///< the connection hung or was lost before an answer
-    broken,   ///< the answer was truncated or malformed
+    /// Not sent either: the backend server has asked for no requests while this one waited for its
+    /// connection.
+    withheld,
+    silent, ///< the connection hung or was lost before an answer
+    broken, ///< the answer was truncated or malformed
 };
 
 std::string_view describe(attempt_fault fault) noexcept;
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -30,6 +30,8 @@
         return "could not connect";
     case attempt_fault::no_room:
         return "connection limit reached";
+    case attempt_fault::withheld:
+        return "backend server asked for no requests before this one was sent";
     case attempt_fault::silent:
         return "connection lost without an answer";
     case attempt_fault::broken:
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -282,6 +282,8 @@
     const bool broke = fault == attempt_fault::broken || head_seen;
     if (fault == attempt_fault::no_room) {
         end_attempt(attempt_result::refused);
+    } else if (fault == attempt_fault::withheld) {
+        end_attempt(attempt_result::dropped);
     } else {
         end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
     }
--- a/modules/gateway/tests/exchange_backoff_test.cpp
+++ b/modules/gateway/tests/exchange_backoff_test.cpp
@@ -174,6 +174,21 @@
     BOOST_TEST(it.backends.last().target.backend == rest.back());
 }
 
+// Guards against counting a request that was withheld as sent, or its backend server as
+// unreachable.
+BOOST_AUTO_TEST_CASE(withheld_request_is_sent_elsewhere)
+{
+    one_gateway it;
+    it.ask(as_unsafe);
+    const std::string resting = it.backends.last().target.backend;
+    back_off(it, {resting}, 1);
+    it.fault(attempt_fault::withheld);
+    BOOST_REQUIRE(it.backends.attempts.size() == 2U);
+    BOOST_TEST(it.backends.last().target.backend != resting);
+    BOOST_TEST(it.found_unresponsive.empty());
+    BOOST_TEST(it.crashed.empty());
+}
+
 // Guards against believing another incarnation, and the late answer to another request.
 BOOST_AUTO_TEST_CASE(only_answers_of_the_chosen_incarnation_to_this_request_count)
 {
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -121,7 +121,12 @@
     void set_hooks()
     {
         net::tcp_stream::hooks hooks;
-        hooks.connected = [this] { pool_.timers_.cancel(std::exchange(timer_, 0)); };
+        hooks.connected = [this] {
+            pool_.timers_.cancel(std::exchange(timer_, 0));
+            if (!pool_.may_send_(target_.backend)) {
+                fail(gateway::attempt_fault::withheld);
+            }
+        };
         hooks.bytes = [this](std::string_view bytes) { on_bytes(bytes); };
         hooks.ended = [this](net::stream_end end) { on_ended(end); };
         stream_->set_hooks(std::move(hooks));
@@ -329,9 +334,10 @@
 };
 
 backend_pool::backend_pool(net::poller& poller, gateway::scheduler& timers, clock_fn now,
-                           std::function<std::size_t()> host_count, backend_pool_settings settings)
+                           std::function<std::size_t()> host_count, may_send_fn may_send,
+                           backend_pool_settings settings)
     : poller_{poller}, timers_{timers}, now_{std::move(now)},
-      host_count_{std::move(host_count)}, settings_{settings}
+      host_count_{std::move(host_count)}, may_send_{std::move(may_send)}, settings_{settings}
 {
 }
 
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -38,9 +38,13 @@
 /// response to the next request.
 class backend_pool final : public gateway::attempt_port {
 public:
+    /// Whether a request that has waited for its connection may still be sent.
+    using may_send_fn = std::function<bool(const std::string& backend)>;
+
     /// `host_count` returns the number of hosts that share each backend server's connection limit.
     backend_pool(net::poller& poller, gateway::scheduler& timers, clock_fn now,
-                 std::function<std::size_t()> host_count, backend_pool_settings settings);
+                 std::function<std::size_t()> host_count, may_send_fn may_send,
+                 backend_pool_settings settings);
     ~backend_pool() override;
     backend_pool(const backend_pool&) = delete;
     backend_pool& operator=(const backend_pool&) = delete;
@@ -78,6 +82,7 @@
     gateway::scheduler& timers_;
     clock_fn now_;
     std::function<std::size_t()> host_count_;
+    may_send_fn may_send_;
     backend_pool_settings settings_;
     /// Number of open connections by backend server incarnation. Declared before the connections,
     /// whose destructors decrement it.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -64,6 +64,9 @@
                                                      timers_,
                                                      env.now,
                                                      [this] { return control_->host_count(); },
+                                                     [this](const std::string& backend) {
+                                                         return !backoffs_.is_backing_off(backend);
+                                                     },
                                                      {}},
       liveness_{
           {},
--- /dev/null
+++ b/tests/gateway/backend_pool_test.cpp
@@ -0,0 +1,61 @@
+#include "gateway/backend_pool.h"
+
+#include "fakes.h"
+#include "loopback_listener.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::testing;
+
+/// A pool with one request on its way to a listening socket on the loopback address.
+struct pool_fixture final : gateway::attempt_events {
+    bool on_head(http1::response_head&) override { return true; }
+    void on_body(std::string_view) override {}
+    void on_complete() override {}
+    void on_fault(gateway::attempt_fault how) override { fault = how; }
+
+    net::poller poller;
+    fake_scheduler timers;
+    loopback_listener server;
+    bool may_send = true;
+    std::optional<gateway::attempt_fault> fault;
+    backend_pool pool{poller,
+                      timers,
+                      [this] { return timers.now; },
+                      [] { return std::size_t{1}; },
+                      [this](const std::string&) { return may_send; },
+                      {}};
+    std::unique_ptr<gateway::attempt> request =
+        pool.start({"i-1", "127.0.0.1:" + std::to_string(server.address().port), "app", 0},
+                   "GET / HTTP/1.1\r\n\r\n", {}, false, *this);
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_pool_suite)
+
+// Guards against a request that waits for its connection and reaches a backend server that has
+// asked for no requests in the meantime.
+BOOST_AUTO_TEST_CASE(request_is_withheld_if_its_backend_backs_off_before_the_connection_is_open)
+{
+    pool_fixture it;
+    it.may_send = false;
+    run_main_loop();
+    BOOST_REQUIRE(it.fault.has_value());
+    BOOST_TEST((*it.fault == gateway::attempt_fault::withheld));
+    BOOST_TEST(it.server.receive().empty());
+}
+
+// Guards against withholding requests that may be sent.
+BOOST_AUTO_TEST_CASE(request_is_sent_once_its_connection_is_open)
+{
+    pool_fixture it;
+    run_main_loop();
+    BOOST_TEST(!it.fault.has_value());
+    BOOST_TEST(it.server.receive() == "GET / HTTP/1.1\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/loopback_listener.h
+++ b/tests/gateway/loopback_listener.h
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -47,6 +48,16 @@
         }
         return out;
     }
+    /// Accepts a connection, closes it, and returns the bytes that had arrived on it.
+    [[nodiscard]] std::string receive() const
+    {
+        std::string out(4096, '\0');
+        const int fd = ::accept(fd_, nullptr, nullptr);
+        const ssize_t n = ::recv(fd, out.data(), out.size(), MSG_DONTWAIT);
+        ::close(fd);
+        out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return out;
+    }
     [[nodiscard]] net::endpoint address() const { return {htonl(INADDR_LOOPBACK), port_}; }
 
 private:
