[cli] Keeps the order of a log in a request's history

Lines about backend servers were appended after the lines of the request, so those of the same millisecond were out of order, and a line of both kinds was shown twice. Seen with backend_backoff lines of a real host. Lines are now selected in one pass; test history_keeps_the_order_of_a_log_and_shows_each_line_once.

--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <ctime>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -165,48 +166,53 @@
 /// Lines that the query asks for, and those on the backend servers around them.
 std::vector<log_line> select(const by_node& nodes, const history_query& query)
 {
-    std::vector<log_line> out;
-    std::set<std::string> backends;
     const auto equal_requests = identities_of(nodes, query.request);
+    const auto is_asked_for = [&](const parsed_line& it) {
+        const bool of_request = !query.request.empty() && it.request == query.request;
+        // The other attempts of its callers, as far as they crashed backend servers.
+        const bool of_equal =
+            it.line.event == "request_crashed" && equal_requests.contains(it.identity);
+        return of_request || of_equal || mentions_config(it, query.config_version);
+    };
+    std::set<std::string> backends;
+    std::int64_t first = std::numeric_limits<std::int64_t>::max();
+    std::int64_t last = std::numeric_limits<std::int64_t>::min();
     for (const auto& [node, lines] : nodes) {
         for (const auto& it : lines) {
-            const bool of_request = !query.request.empty() && it.request == query.request;
-            if (of_request && !it.backend.empty()) {
-                backends.insert(it.backend);
+            if (!is_asked_for(it)) {
+                continue;
             }
-            if (of_request) {
+            first = std::min(first, it.line.corrected_ms);
+            last = std::max(last, it.line.corrected_ms);
+            if (!query.request.empty() && it.request == query.request) {
                 backends.insert(it.backing_off.begin(), it.backing_off.end());
-            }
-            // The other attempts of its callers, as far as they crashed backend servers.
-            const bool of_equal =
-                it.line.event == "request_crashed" && equal_requests.contains(it.identity);
-            if (of_request || of_equal || mentions_config(it, query.config_version)) {
-                out.push_back(it.line);
+                if (!it.backend.empty()) {
+                    backends.insert(it.backend);
+                }
             }
         }
     }
-    if (out.empty()) {
+    const auto is_around = [&](const parsed_line& it) {
+        const bool on_backend =
+            std::any_of(backends.begin(), backends.end(), [&](const auto& backend) {
+                return it.message.starts_with("backend server " + backend + " ");
+            });
+        const bool on_limit =
+            (it.line.event.starts_with("backend_limit") || it.line.event == "backend_backoff") &&
+            backends.contains(it.backend);
+        const bool on_domain = it.message.starts_with(evacuation_prefix);
+        // A backoff that was asked for earlier may still have been in force.
+        return (on_backend || on_limit || on_domain) &&
+               it.line.corrected_ms + it.wait_ms >= first - query.around_ms &&
+               it.line.corrected_ms <= last + query.around_ms;
+    };
+    std::vector<log_line> out;
+    if (first > last) {
         return out;
     }
-    const auto [first, last] =
-        std::minmax_element(out.begin(), out.end(), [](const auto& a, const auto& b) {
-            return a.corrected_ms < b.corrected_ms;
-        });
-    const std::int64_t from = first->corrected_ms - query.around_ms;
-    const std::int64_t to = last->corrected_ms + query.around_ms;
     for (const auto& [node, lines] : nodes) {
         for (const auto& it : lines) {
-            const bool on_backend =
-                std::any_of(backends.begin(), backends.end(), [&](const auto& backend) {
-                    return it.message.starts_with("backend server " + backend + " ");
-                });
-            const bool on_limit = (it.line.event.starts_with("backend_limit") ||
-                                   it.line.event == "backend_backoff") &&
-                                  backends.contains(it.backend);
-            const bool on_domain = it.message.starts_with(evacuation_prefix);
-            // A backoff that was asked for earlier may still have been in force.
-            if ((on_backend || on_limit || on_domain) &&
-                it.line.corrected_ms + it.wait_ms >= from && it.line.corrected_ms <= to) {
+            if (is_asked_for(it) || is_around(it)) {
                 out.push_back(it.line);
             }
         }
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -122,4 +122,19 @@
     BOOST_TEST(found.lines[0].text.find("backend=i-1@5") != std::string::npos);
 }
 
+// Guards against lines of the same millisecond that are shown twice or out of order.
+BOOST_AUTO_TEST_CASE(history_keeps_the_order_of_a_log_and_shows_each_line_once)
+{
+    const std::string log =
+        line("a", "10.000",
+             R"("event":"backend_backoff","backend":"i-1","request":"q","wait_ms":3000)") +
+        line("a", "10.000", R"("event":"backend_limited","backend":"i-1","per_second":2)") +
+        line("a", "10.000", R"("event":"request_ended","request":"q","backend":"i-1")");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 3U);
+    BOOST_TEST(found.lines[0].event == "backend_backoff");
+    BOOST_TEST(found.lines[1].event == "backend_limited");
+    BOOST_TEST(found.lines[2].event == "request_ended");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
