[gateway] Keeps an answer while the other backend servers reject requests

Cause: a backend server in saturation backoff counted as one with room. has_room_elsewhere now leaves it out, for escalations and for failover from a silent attempt. The test answer_is_kept_if_all_other_backends_have_just_rejected failed before (a second attempt, no answer).

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -206,7 +206,8 @@
     /// has no room, removes all candidates without room.
     const backend_entry* choose(std::vector<const backend_entry*>& candidates, const job_size& job);
     void request_permits();
-    /// Whether a backend server that has not been tried, other than `except`, has room.
+    /// Whether a backend server that has not been tried, other than `except`, is likely to accept
+    /// the request.
     bool has_room_elsewhere(std::string_view except);
     [[nodiscard]] bool was_tried(const backend_entry& it) const;
     /// Backend servers of the request's service that may get work, those that warm up limited to
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -150,6 +150,8 @@
     [[nodiscard]] double prefill_ms(const job_size& job, double cached) const;
     /// Estimated pending prefill time of a backend server, from local and reported load.
     [[nodiscard]] millis prefill_left(const std::string& backend) const;
+    /// Whether the backend server has rejected a request and its saturation backoff has not passed.
+    [[nodiscard]] bool is_saturated(const std::string& backend, instant now) const;
     /// Sets the load of all other gateway processes on a backend server.
     void set_remote_load(const std::string& backend, const remote_load& remote);
     /// Drops all statistics of a backend server.
--- a/modules/gateway/src/exchange_limits.cpp
+++ b/modules/gateway/src/exchange_limits.cpp
@@ -75,7 +75,8 @@
     }
     limited_backends_.clear();
     for (const auto* const it : selectable_backends()) {
-        if (was_tried(*it) || it->record.id == except) {
+        if (was_tried(*it) || it->record.id == except ||
+            services_.balancer.is_saturated(it->record.id, services_.now())) {
             continue;
         }
         if (limits.has_room(it->record.id, priority())) {
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -331,6 +331,12 @@
     return millis{static_cast<std::int64_t>(load.prefill_ms + load.remote.prefill_ms)};
 }
 
+bool load_balancer::is_saturated(const std::string& backend, instant now) const
+{
+    const auto found = loads_.find(backend);
+    return found != loads_.end() && now < found->second.saturated_until;
+}
+
 void load_balancer::set_remote_load(const std::string& backend, const remote_load& remote)
 {
     loads_[backend].remote = settings_.use_remote_load ? remote : remote_load{};
--- a/modules/gateway/tests/exchange_backoff_test.cpp
+++ b/modules/gateway/tests/exchange_backoff_test.cpp
@@ -161,6 +161,23 @@
     BOOST_TEST(it.caller.status == 200U);
 }
 
+// Guards against dropping an answer for a larger model while all other backend servers reject.
+BOOST_AUTO_TEST_CASE(answer_is_kept_if_all_other_backends_have_just_rejected)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) { route.models = {"small", "large"}; });
+    const std::string answering = it.backends.last().target.backend;
+    for (const auto& backend : others(answering)) {
+        auto ticket = it.balancer.started(*it.directory.find(backend), {}, it.timers.now);
+        it.balancer.ended(ticket, attempt_result::refused, it.timers.now);
+    }
+    back_off(it, {answering}, 3);
+    it.answer(200, "fine", true, 0.1);
+    it.complete();
+    BOOST_TEST(it.backends.attempts.size() == 1U);
+    BOOST_TEST(it.caller.status == 200U);
+}
+
 // Guards against resuming a stream on a backend server that is backing off.
 BOOST_AUTO_TEST_CASE(broken_stream_resumes_on_a_backend_that_is_not_backing_off)
 {
