[tests] Lets relays in front of backend servers bind free ports themselves

add_relayed_backend picked a free port, closed it, started the stand-in, which binds a free port too, and then the relay, which ends the test program without a word if its port is taken. The relay now binds port 0 and gets its target afterwards.

--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -52,8 +52,12 @@
 /// A TCP proxy to a local port that injects connection faults.
 class relay {
 public:
+    /// Listens on the port `listen`, or on a free one if it is 0.
     relay(std::uint16_t listen, std::uint16_t to);
     ~relay();
+    [[nodiscard]] std::uint16_t port() const;
+    /// Forwards new connections to the port `to`.
+    void set_target(std::uint16_t to);
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
 
--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -34,7 +34,7 @@
         bool stalled = false;
     };
     int listener = -1;
-    std::uint16_t to = 0;
+    std::atomic<std::uint16_t> to{0};
     std::vector<connection> connections;
     std::atomic<bool> stall_open{false};
     std::atomic<relay_fault> fault{relay_fault::none};
@@ -154,6 +154,19 @@
 
 relay::~relay() = default;
 
+std::uint16_t relay::port() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    ::getsockname(state_->listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+void relay::set_target(std::uint16_t to)
+{
+    state_->to = to;
+}
+
 void relay::set_fault(relay_fault fault)
 {
     state_->fault = fault;
