--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -10,7 +10,7 @@
 using namespace hickorypost;
 using namespace hickorypost::testing;
 
-/// A pool with one request on its way to a listening socket on the loopback address.
+/// A pool with one request to a listening socket on the loopback address.
 struct pool_fixture final : gateway::attempt_events {
     bool on_head(http1::response_head&) override { return true; }
     void on_body(std::string_view) override {}
