[gateway] Crash log lines name the prompt parts that other requests may share

`request_crashed` has a field `parts` now. No logic changes: the function that leaves out a request's last part moves from load_balancer.cpp to its header.

--- a/modules/gateway/include/hickorypost/gateway/crash_watch.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_watch.h
@@ -19,6 +19,7 @@
     std::string request; ///< id of the request, as the caller sent it
     request_identity identity;
     std::uint32_t crashes_before = 0; ///< of the identity, known when the attempt was sent
+    std::vector<std::uint64_t> parts; ///< ids of the prompt parts that other requests may share
 };
 
 /// A connection attempt. Destroying it cancels it.
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -19,6 +19,12 @@
     double tokens = 0;
 };
 
+/// Parts that other requests may share: all but the last, which is specific to the request.
+[[nodiscard]] inline std::span<const prompt_part> shared_parts(std::span<const prompt_part> parts)
+{
+    return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
 /// Estimated resource demand of a request, known before it runs.
 struct job_size {
     double prompt_tokens = 0; ///< 0 for a request to a plain (non-LLM) service
--- a/modules/gateway/include/hickorypost/gateway/request_identity.h
+++ b/modules/gateway/include/hickorypost/gateway/request_identity.h
@@ -34,6 +34,8 @@
 std::uint64_t outline_of(const identity_parts& parts) noexcept;
 request_identity identity_of(const identity_parts& parts);
 
+/// The id of a prompt part as callers write it: lower-case hex digits without leading zeros.
+std::string part_text(std::uint64_t id);
 /// 32 lower-case hex digits.
 std::string to_text(const request_identity& identity);
 /// Returns nothing unless `text` consists of 32 hex digits.
--- a/modules/gateway/src/exchange_crashes.cpp
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -48,9 +48,13 @@
             continue_after_break(why);
         };
     }
-    crash_check_id_ = services_.crashes.attempt_broke(
-        target_, {record_.backend, record_.service, record_.id, identity(), crashes_before_},
-        std::move(proceed));
+    crashed_attempt attempt{record_.backend, record_.service, record_.id,
+                            identity(),      crashes_before_, {}};
+    for (const auto& part : shared_parts(request_.parts)) {
+        attempt.parts.push_back(part.id);
+    }
+    crash_check_id_ =
+        services_.crashes.attempt_broke(target_, std::move(attempt), std::move(proceed));
     if (!waits) {
         crash_check_id_ = 0;
         continue_after_break(why);
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -43,13 +43,6 @@
                      static_cast<double>(half_life.count()));
 }
 
-/// Parts that other requests may share: all but the last, which is specific to the request.
-std::span<const prompt_part> shared_parts(const job_size& job)
-{
-    return job.parts.empty() ? std::span<const prompt_part>{}
-                             : std::span{job.parts}.first(job.parts.size() - 1);
-}
-
 } // namespace
 
 load_balancer::load_balancer(balancer_settings settings, std::string own_domain, random_fn random,
@@ -70,7 +63,7 @@
 void load_balancer::compute_part_keys(const job_size& job)
 {
     part_keys_.clear();
-    for (const auto& part : shared_parts(job)) {
+    for (const auto& part : shared_parts(job.parts)) {
         part_keys_.push_back(part_key(part, job.model));
     }
 }
--- a/modules/gateway/src/request_identity.cpp
+++ b/modules/gateway/src/request_identity.cpp
@@ -75,6 +75,13 @@
     return out;
 }
 
+std::string part_text(std::uint64_t id)
+{
+    std::array<char, digits_per_half> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), id, hex_base).ptr;
+    return {digits.data(), end};
+}
+
 std::string to_text(const request_identity& identity)
 {
     std::string out;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -37,6 +37,16 @@
 }
 
 /// Formats as ID:MS, separated by commas.
+/// Prompt parts as callers write them, separated by commas.
+std::string format_parts(const std::vector<std::uint64_t>& parts)
+{
+    std::string out;
+    for (const auto id : parts) {
+        out += (out.empty() ? "" : ",") + gateway::part_text(id);
+    }
+    return out;
+}
+
 std::string format_backoffs(const std::vector<std::pair<std::string, millis>>& backoffs)
 {
     std::string out;
@@ -182,6 +192,9 @@
         .add("crashes", crashes)
         .add("crashes_before", attempt.crashes_before)
         .add("known_crashes", known);
+    if (!attempt.parts.empty()) {
+        line.add("parts", format_parts(attempt.parts));
+    }
     env_.log->info("{}", line.payload());
 }
 
