[gateway] A host may use the connections to backend servers that other hosts leave unused

Callers that nearly all come to one host got 503 there: a host could open an equal share of each backend server's connections, which supposes that callers spread evenly.

Hosts report their open connections with their load (a field appended to the message; hosts of earlier releases skip it and count by their requests). A host may open what is not reserved or in use; half of an equal share stays reserved for each host, and hosts close idle connections where few are left. Without complete reports the equal share holds.

--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -38,7 +38,8 @@
 /// Work on a backend server, as gateway processes report it to each other.
 struct remote_load {
     double requests = 0;
-    double prefill_ms = 0; ///< pending prefill of requests that have no first event yet
+    double prefill_ms = 0;  ///< pending prefill of requests that have no first event yet
+    double connections = 0; ///< open ones; hosts of earlier releases report none
 };
 
 /// Outcome of one attempt, from which the balancer updates its statistics.
@@ -160,6 +161,9 @@
     [[nodiscard]] bool is_saturated(const std::string& backend, instant now) const;
     /// Sets the load of all other gateway processes on a backend server.
     void set_remote_load(const std::string& backend, const remote_load& remote);
+    /// Connections that other processes have open to a backend server, one for each request at
+    /// least.
+    [[nodiscard]] double remote_connections(const std::string& backend) const;
     /// Drops all statistics of a backend server.
     void forget(const std::string& backend);
 
--- a/modules/gateway/include/hickorypost/gateway/load_table.h
+++ b/modules/gateway/include/hickorypost/gateway/load_table.h
@@ -14,6 +14,7 @@
     /// prompt takes 5 to 20 ms; that of the long prompts that delay others takes 50 ms to 3 s.
     double min_prefill_change_ms = 15;
     double min_requests_change = 3;
+    double min_connections_change = 3;
 };
 
 /// The load of each gateway process on each backend server. Determines which totals have changed
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -225,7 +225,7 @@
         decay(now - std::exchange(load.last_request_at, now), settings_.service_half_life);
     const double prefill = prefill_ms(job, cached);
     load.prefill_ms += prefill;
-    changed_(on.record.id, {load.requests, load.prefill_ms});
+    changed_(on.record.id, {load.requests, load.prefill_ms, 0});
     if (load.probation_until > now) {
         // One attempt at a time while on probation.
         load.probation_until = now + settings_.longest_probation;
@@ -247,7 +247,7 @@
     it.first_event_at = now;
     backend_load& load = loads_[it.backend];
     load.prefill_ms = std::max(0.0, load.prefill_ms - it.prefill_ms);
-    changed_(it.backend, {load.requests, load.prefill_ms});
+    changed_(it.backend, {load.requests, load.prefill_ms, 0});
     load.consecutive_unreachable = 0;
     load.probation_until = {};
     load.consecutive_rejections = 0;
@@ -276,7 +276,7 @@
     if (!it.has_first_event) {
         load.prefill_ms = std::max(0.0, load.prefill_ms - it.prefill_ms);
     }
-    changed_(it.backend, {load.requests, load.prefill_ms});
+    changed_(it.backend, {load.requests, load.prefill_ms, 0});
     if (it.streaming && it.has_first_event) {
         const double occupied_ms =
             static_cast<double>((now - it.first_event_at).count()) / micros_per_milli;
@@ -335,6 +335,14 @@
     loads_[backend].remote = settings_.use_remote_load ? remote : remote_load{};
 }
 
+double load_balancer::remote_connections(const std::string& backend) const
+{
+    const auto found = loads_.find(backend);
+    return found == loads_.end()
+               ? 0
+               : std::max(found->second.remote.connections, found->second.remote.requests);
+}
+
 void load_balancer::forget(const std::string& backend)
 {
     loads_.erase(backend);
--- a/modules/gateway/src/load_table.cpp
+++ b/modules/gateway/src/load_table.cpp
@@ -9,7 +9,7 @@
 
 bool is_zero(const remote_load& it)
 {
-    return it.requests <= 0 && it.prefill_ms <= 0;
+    return it.requests <= 0 && it.prefill_ms <= 0 && it.connections <= 0;
 }
 
 } // namespace
@@ -20,10 +20,13 @@
     for (const auto& [source, part] : it.loads_by_source) {
         it.total.requests += part.requests;
         it.total.prefill_ms += part.prefill_ms;
+        it.total.connections += part.connections;
     }
     const bool exceeds_threshold =
         std::abs(it.total.prefill_ms - it.reported.prefill_ms) >= settings_.min_prefill_change_ms ||
-        std::abs(it.total.requests - it.reported.requests) >= settings_.min_requests_change;
+        std::abs(it.total.requests - it.reported.requests) >= settings_.min_requests_change ||
+        std::abs(it.total.connections - it.reported.connections) >=
+            settings_.min_connections_change;
     if (exceeds_threshold && !std::exchange(it.is_changed, true)) {
         changed_.push_back(backend);
     }
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -415,6 +415,7 @@
     std::string id;
     double requests = 0;
     double prefill_ms = 0; ///< prefill time of the requests that have no first event yet
+    double connections = 0;
 };
 
 /// Load on backend servers. An attached host reports the load of its own requests and receives the
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -35,16 +35,13 @@
         : pool_{pool}, target_{std::move(target)}, idle_timeout_{
                                                        pool.settings_.default_idle_timeout}
     {
-        ++pool_.open_count_[target_.backend];
+        pool_.count_open(target_.backend, 1);
     }
 
     ~connection()
     {
         pool_.timers_.cancel(timer_);
-        const auto count = pool_.open_count_.find(target_.backend);
-        if (--count->second == 0) {
-            pool_.open_count_.erase(count);
-        }
+        pool_.count_open(target_.backend, -1);
     }
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
@@ -106,6 +103,8 @@
     /// Fails the request in flight.
     void abort() { fail(fault_on_close()); }
     [[nodiscard]] const std::string& backend() const noexcept { return target_.backend; }
+    /// Connections that the backend server accepts from all hosts together; 0: any number.
+    [[nodiscard]] std::uint32_t limit() const noexcept { return target_.max_connections; }
     [[nodiscard]] bool usable() const noexcept { return stream_ && stream_->open(); }
 
 private:
@@ -335,26 +334,62 @@
 };
 
 backend_pool::backend_pool(net::poller& poller, gateway::scheduler& timers, clock_fn now,
-                           std::function<std::size_t()> host_count, may_send_fn may_send,
+                           use_fn use, changed_fn changed, may_send_fn may_send,
                            backend_pool_settings settings)
-    : poller_{poller}, timers_{timers}, now_{std::move(now)},
-      host_count_{std::move(host_count)}, may_send_{std::move(may_send)}, settings_{settings}
+    : poller_{poller}, timers_{timers}, now_{std::move(now)}, use_{std::move(use)},
+      changed_{std::move(changed)}, may_send_{std::move(may_send)}, settings_{settings},
+      share_{settings.share}
+{
+}
+
+void backend_pool::count_open(const std::string& backend, int change)
 {
+    const auto count = open_count_.try_emplace(backend, 0).first;
+    count->second += static_cast<std::size_t>(change);
+    const std::size_t open = count->second;
+    if (open == 0) {
+        open_count_.erase(count);
+    }
+    if (changed_) {
+        changed_(backend, open);
+    }
+}
+
+gateway::connection_use backend_pool::use_of(const std::string& backend) const
+{
+    gateway::connection_use out = use_(backend);
+    const auto count = open_count_.find(backend);
+    out.own = count == open_count_.end() ? 0 : count->second;
+    return out;
 }
 
 bool backend_pool::has_capacity(const gateway::attempt_target& target) const
 {
-    const auto count = open_count_.find(target.backend);
-    if (count == open_count_.end() || target.max_connections == 0) {
+    if (target.max_connections == 0) {
         return true;
     }
-    const double share = settings_.connection_limit_fraction * target.max_connections /
-                         static_cast<double>(std::max<std::size_t>(1, host_count_()));
-    return static_cast<double>(count->second) < std::max(1.0, share);
+    const auto use = use_of(target.backend);
+    return static_cast<double>(use.own) < share_.allowed(target.max_connections, use);
+}
+
+void backend_pool::close_idle_where_scarce()
+{
+    for (auto& [backend, list] : idle_) {
+        const double limit = list.empty() ? 0 : list.front()->limit();
+        auto use = use_of(backend);
+        while (limit > 0 && !list.empty() && share_.is_scarce(limit, use) &&
+               static_cast<double>(use.own) > share_.reserved(limit, use)) {
+            list.front()->cancel_idle_timer();
+            list.pop_front();
+            use = use_of(backend);
+        }
+    }
+    std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
 }
 
 backend_pool::~backend_pool()
 {
+    changed_ = nullptr;
     timers_.cancel(closed_timer_);
 }
 
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/gateway/connection_share.h"
 #include "hickorypost/gateway/exchange_types.h"
 #include "hickorypost/http1/parser.h"
 #include "hickorypost/net/poller.h"
@@ -24,10 +25,7 @@
     /// closed. A request that is sent while the backend server closes the connection may have run,
     /// so that it could not be retried.
     double idle_timeout_fraction = 0.6;
-    /// Fraction of a backend server's connection limit that all hosts together may use. The rest is
-    /// a reserve for hosts that have not discovered each other: a connection above the limit is
-    /// reset, and a request on it may have run.
-    double connection_limit_fraction = 0.8;
+    gateway::connection_share_settings share;
     /// A connection on which sent bytes or keepalive probes stay unacknowledged for this long is
     /// closed.
     millis unacknowledged_timeout{2500};
@@ -41,10 +39,13 @@
     /// Whether a request that has waited for its connection may still be sent.
     using may_send_fn = std::function<bool(const std::string& backend)>;
 
-    /// `host_count` returns the number of hosts that share each backend server's connection limit.
-    backend_pool(net::poller& poller, gateway::scheduler& timers, clock_fn now,
-                 std::function<std::size_t()> host_count, may_send_fn may_send,
-                 backend_pool_settings settings);
+    /// The connections of all hosts to a backend server; `own` is filled in by the pool.
+    using use_fn = std::function<gateway::connection_use(const std::string& backend)>;
+    /// Called when the number of open connections to a backend server has changed.
+    using changed_fn = std::function<void(const std::string& backend, std::size_t open)>;
+
+    backend_pool(net::poller& poller, gateway::scheduler& timers, clock_fn now, use_fn use,
+                 changed_fn changed, may_send_fn may_send, backend_pool_settings settings);
     ~backend_pool() override;
     backend_pool(const backend_pool&) = delete;
     backend_pool& operator=(const backend_pool&) = delete;
@@ -59,6 +60,9 @@
     /// open until `unacknowledged_timeout` expires.
     void close_all(const std::string& backend);
 
+    /// Closes idle connections to backend servers that have few left for other hosts. Call several
+    /// times a second.
+    void close_idle_where_scarce();
     [[nodiscard]] std::size_t idle_connections() const noexcept;
     [[nodiscard]] std::size_t busy_connections() const noexcept { return busy_.size(); }
     /// Number of connections opened since construction.
@@ -77,13 +81,17 @@
     std::unique_ptr<connection> take_idle(const std::string& backend);
     /// Whether a further connection stays within this host's share of the limit.
     [[nodiscard]] bool has_capacity(const gateway::attempt_target& target) const;
+    [[nodiscard]] gateway::connection_use use_of(const std::string& backend) const;
+    void count_open(const std::string& backend, int change);
 
     net::poller& poller_;
     gateway::scheduler& timers_;
     clock_fn now_;
-    std::function<std::size_t()> host_count_;
+    use_fn use_;
+    changed_fn changed_;
     may_send_fn may_send_;
     backend_pool_settings settings_;
+    gateway::connection_share share_;
     /// Number of open connections by backend server incarnation. Declared before the connections,
     /// whose destructors decrement it.
     std::map<std::string, std::size_t> open_count_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -60,14 +60,16 @@
                     }
                 }},
       rollouts_{env.random, config_.session + max_request_duration},
-      model_choice_{config_.decisions.models}, pool_{poller_,
-                                                     timers_,
-                                                     env.now,
-                                                     [this] { return control_->host_count(); },
-                                                     [this](const std::string& backend) {
-                                                         return !backoffs_.is_backing_off(backend);
-                                                     },
-                                                     {}},
+      model_choice_{config_.decisions.models},
+      pool_{poller_,
+            timers_,
+            env.now,
+            [this](const std::string& backend) { return connection_use(backend); },
+            [this](const std::string& backend, std::size_t open) {
+                backend_feed_->loads().own_connections_changed(backend, open);
+            },
+            [this](const std::string& backend) { return !backoffs_.is_backing_off(backend); },
+            {}},
       liveness_{
           {},
           pool_,
@@ -431,6 +433,12 @@
            found->second.target != entry->record.version;
 }
 
+gateway::connection_use gateway_role::connection_use(const std::string& backend) const
+{
+    return {0, balancer_.remote_connections(backend), backend_feed_->loads().is_complete(),
+            control_->host_count()};
+}
+
 void gateway_role::propose_incumbents()
 {
     if (!route_table_ || !control_->leads()) {
@@ -456,6 +464,7 @@
     backend_feed_->broadcast_pinned_sessions(rollouts_.take_pinned(env_.now()));
     control_->report_versions(rollouts_.take_report());
     release_held_requests();
+    pool_.close_idle_where_scarce();
     if (ready() != was_ready_) {
         was_ready_ = ready();
         env_.log->info("ready: {}", was_ready_);
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -71,6 +71,8 @@
     /// Whether the backend server is expected to end: it is draining or has left, or a completed
     /// roll-out has replaced its version.
     [[nodiscard]] bool shutdown_expected(const gateway::attempt_target& target) const;
+    /// The connections of the other hosts to a backend server.
+    [[nodiscard]] gateway::connection_use connection_use(const std::string& backend) const;
     /// On the control log's leader: commits an incumbent version for each service without one.
     void propose_incumbents();
     void tick();
--- a/src/gateway/load_feed.cpp
+++ b/src/gateway/load_feed.cpp
@@ -28,6 +28,34 @@
 
 void load_feed::own_changed(const std::string& backend, const gateway::remote_load& own)
 {
+    auto& it = own_[backend];
+    it.requests = own.requests;
+    it.prefill_ms = own.prefill_ms;
+    set_own(backend);
+}
+
+void load_feed::own_connections_changed(const std::string& backend, std::size_t open)
+{
+    own_[backend].connections = static_cast<double>(open);
+    set_own(backend);
+}
+
+bool load_feed::is_complete() const
+{
+    if (!has_disk_) {
+        return last_reports_.contains(upstream_);
+    }
+    return std::all_of(mesh_.core().begin(), mesh_.core().end(), [this](const auto& it) {
+        return it.first == mesh_.self() || last_reports_.contains(it.first);
+    });
+}
+
+void load_feed::set_own(const std::string& backend)
+{
+    const gateway::remote_load own = own_.at(backend);
+    if (own.requests <= 0 && own.connections <= 0) {
+        own_.erase(backend);
+    }
     const bool changed_for_core = local_load_.set(mesh_.self(), backend, own);
     const bool changed_for_attached = has_disk_ && total_load_.set(mesh_.self(), backend, own);
     if (changed_for_core || changed_for_attached) {
@@ -45,7 +73,7 @@
     last_reports_[from] = env_.now();
     load_map loads;
     for (const auto& it : report.loads) {
-        loads[it.id] = {it.requests, it.prefill_ms};
+        loads[it.id] = {it.requests, it.prefill_ms, it.connections};
     }
     if (report.whole) {
         apply_full_report(from, loads);
@@ -183,7 +211,7 @@
     for (const auto& backend : backends) {
         // The receiver knows the load that it reported itself better than this host.
         const auto load = sums.without(to, backend);
-        out.loads.push_back({backend, load.requests, load.prefill_ms});
+        out.loads.push_back({backend, load.requests, load.prefill_ms, load.connections});
     }
     return out;
 }
--- a/src/gateway/load_feed.h
+++ b/src/gateway/load_feed.h
@@ -31,6 +31,10 @@
 
     /// Sets this host's own load on a backend server.
     void own_changed(const std::string& backend, const gateway::remote_load& own);
+    /// Sets the number of this host's open connections to a backend server.
+    void own_connections_changed(const std::string& backend, std::size_t open);
+    /// Whether the reported load covers all hosts, as far as this host knows them.
+    [[nodiscard]] bool is_complete() const;
     void take_report(const node_id& from, const wire::load_report& report);
     void on_host_gone(const node_id& host);
     /// Makes the next report to `host` a full one. Call when `host` has begun to receive reports.
@@ -42,6 +46,8 @@
 private:
     using load_map = std::map<std::string, gateway::remote_load>;
 
+    /// Enters this host's own load on a backend server into the tables.
+    void set_own(const std::string& backend);
     void update_balancer(const std::vector<std::string>& backends);
     void apply_full_report(const node_id& from, const load_map& loads);
     void schedule_flush();
@@ -59,6 +65,7 @@
     bool has_disk_;
     const attachments& around_;
 
+    load_map own_;                   ///< load of this host
     gateway::load_table local_load_; ///< load of this host and its downstream hosts
     gateway::load_table total_load_; ///< load of all hosts; empty on a host without a disk
     /// Backend servers on which the balancer knows of load from other hosts. Used by a host without
--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -25,7 +25,8 @@
     backend_pool pool{poller,
                       timers,
                       [this] { return timers.now; },
-                      [] { return std::size_t{1}; },
+                      [](const std::string&) { return gateway::connection_use{}; },
+                      {},
                       [this](const std::string&) { return may_send; },
                       {}};
     std::unique_ptr<gateway::attempt> request =
