[gateway] An overloaded host closes new connections unread

A host that gets most new connections reads more than it can serve, and its callers give up: their retries would meet other hosts. The number of open connections is bounded by half of the process's descriptors; it had no bound.

--- a/modules/net/include/hickorypost/net/poller.h
+++ b/modules/net/include/hickorypost/net/poller.h
@@ -26,7 +26,8 @@
 /// costs one `epoll_wait`. What is written during one batch of events leaves in one write a socket.
 class poller {
 public:
-    poller();
+    /// `ended`: called after each batch of events with the time that it took, in microseconds.
+    explicit poller(std::function<void(std::int64_t)> ended = {});
     ~poller();
     poller(const poller&) = delete;
     poller& operator=(const poller&) = delete;
@@ -44,6 +45,7 @@
     void run_flushes();
 
     int epoll_fd_;
+    std::function<void(std::int64_t)> ended_;
     gsource_ptr source_;
     gsource_ptr flush_source_;
     std::vector<pollable*> batch_;
--- a/modules/net/src/poller.cpp
+++ b/modules/net/src/poller.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-poller::poller() : epoll_fd_{epoll_create1(EPOLL_CLOEXEC)}
+poller::poller(std::function<void(std::int64_t)> ended)
+    : epoll_fd_{epoll_create1(EPOLL_CLOEXEC)}, ended_{std::move(ended)}
 {
     GSource* source = g_unix_fd_source_new(epoll_fd_, G_IO_IN);
     g_source_set_callback(source, G_SOURCE_FUNC(on_ready), this, nullptr);
@@ -93,6 +94,7 @@
     if (n <= 0) {
         return;
     }
+    const std::int64_t began = g_get_monotonic_time();
     in_batch_ = true;
     batch_.clear();
     for (int it = 0; it < n; ++it) {
@@ -106,6 +108,9 @@
     batch_.clear();
     in_batch_ = false;
     run_flushes();
+    if (ended_) {
+        ended_(g_get_monotonic_time() - began);
+    }
 }
 
 void poller::run_flushes()
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/caller_connection.h"
 
+#include <unistd.h>
 #include <vector>
 
 namespace hickorypost {
@@ -32,8 +33,23 @@
     return out->listener_ ? std::move(out) : nullptr;
 }
 
+std::string_view caller_server::find_refusal() const
+{
+    if (options_.max_connections > 0 && connections_.size() >= options_.max_connections) {
+        return "too many connections";
+    }
+    return options_.may_accept && !options_.may_accept() ? "overloaded" : "";
+}
+
 void caller_server::accept(int fd)
 {
+    if (const auto reason = find_refusal(); !reason.empty()) {
+        ::close(fd);
+        if (options_.connection_refused) {
+            options_.connection_refused(reason);
+        }
+        return;
+    }
     auto connection = std::make_shared<caller_connection>(*this, fd);
     connections_.emplace(connection.get(), connection);
     connection->start();
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -53,6 +53,13 @@
         millis max_hold_time{0};
         /// A connection was closed while an answer was pending.
         std::function<void(const connection_loss&)> connection_lost = nullptr;
+        /// While this returns false, new connections are closed unread, so that their callers try
+        /// another host at once. If unset, all are accepted.
+        std::function<bool()> may_accept = nullptr;
+        /// Upper bound of open connections; further ones are closed unread. 0: none.
+        std::size_t max_connections = 0;
+        /// A new connection was closed unread, for this reason.
+        std::function<void(std::string_view reason)> connection_refused = nullptr;
     };
 
     /// Listens on `address`. Returns null and sets errno on failure.
@@ -89,6 +96,8 @@
 
     caller_server(net::poller& poller, gateway::scheduler& timers, clock_fn now, options opts);
     void accept(int fd);
+    /// Why a new connection is to be closed unread; empty: it is not.
+    [[nodiscard]] std::string_view find_refusal() const;
     /// Connections whose request has been read and is not answered. Copies, as handling one may
     /// remove it.
     [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> busy_connections() const;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <sys/resource.h>
 #include <utility>
 
 namespace hickorypost {
@@ -39,6 +40,15 @@
 /// limit is lower.
 constexpr std::uint64_t max_control_body_bytes = std::uint64_t{8} << 20U;
 
+/// Half of the descriptors that the process may have; the rest is for backend servers, other hosts
+/// and files.
+std::size_t max_caller_connections()
+{
+    rlimit out{};
+    const bool known = getrlimit(RLIMIT_NOFILE, &out) == 0 && out.rlim_cur != RLIM_INFINITY;
+    return known ? static_cast<std::size_t>(out.rlim_cur) / 2 : 0;
+}
+
 /// Limits of the connections to the control, readiness and metrics ports.
 gateway::caller_limits control_limits()
 {
@@ -51,8 +61,10 @@
 } // namespace
 
 gateway_role::gateway_role(runtime& env)
-    : env_{env}, config_{*env.config.gateway}, timers_{env.now},
-      directory_{{}, env.config.node.failure_domain},
+    : env_{env}, config_{*env.config.gateway}, poller_{[this](std::int64_t took) {
+          overload_.iteration(micros{took}, env_.now());
+      }},
+      timers_{env.now}, directory_{{}, env.config.node.failure_domain},
       balancer_{config_.decisions.balancer, env.config.node.failure_domain, env.random,
                 [this](const std::string& backend, const gateway::remote_load& own) {
                     if (backend_feed_) {
@@ -252,7 +264,9 @@
                    return route_table_ ? route_table_->config().limits : gateway::caller_limits{};
                },
                [this](incoming_request request) { return handle_caller(std::move(request)); },
-               [this] { return can_serve(); }, config_.decisions.start_hold}));
+               [this] { return can_serve(); }, config_.decisions.start_hold, nullptr,
+               [this] { return !overload_.is_overloaded(); }, max_caller_connections(),
+               [this](std::string_view reason) { journal_.connection_refused(reason); }}));
     if (config_.metrics.port != 0) {
         BOOST_LEAF_ASSIGN(
             metrics_server_,
@@ -555,6 +569,7 @@
                 static_cast<double>(pool_.busy_connections()));
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
+    metrics.set("overloaded", overload_.is_overloaded() ? 1 : 0);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -8,6 +8,7 @@
 #include "gateway/limit_feed.h"
 #include "gateway/request_journal.h"
 #include "hickorypost/gateway/exchange.h"
+#include "hickorypost/gateway/overload_detector.h"
 
 #include <map>
 #include <memory>
@@ -81,6 +82,7 @@
 
     runtime& env_;
     const gateway_settings& config_;
+    gateway::overload_detector overload_{{}};
     net::poller poller_;
     timers_port timers_;
     gateway::backend_directory directory_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -219,6 +219,17 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::connection_refused(std::string_view reason)
+{
+    env_.metrics.count("caller_connections_refused_total");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"caller_connection_refused"};
+    line.add("reason", reason);
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::suspect_refused(const gateway::request_identity& suspect,
                                       std::uint32_t crashes, std::size_t known)
 {
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -30,6 +30,8 @@
     void crash_checked(std::string_view backend, bool refused);
     /// Records that heartbeats have shown that a backend server has not crashed.
     void crash_refuted(std::string_view backend, std::size_t requests);
+    /// Records that a new caller's connection was closed unread.
+    void connection_refused(std::string_view reason);
     /// Records that a request or a prompt part is refused from now on.
     void suspect_refused(const gateway::request_identity& suspect, std::uint32_t crashes,
                          std::size_t known);
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -223,4 +223,51 @@
     }
 }
 
+// Guards against an overloaded host that reads what it cannot serve.
+BOOST_AUTO_TEST_CASE(new_connection_is_closed_unread_while_the_host_is_overloaded)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    bool overloaded = true;
+    std::size_t requests = 0;
+    std::string reason;
+    const net::endpoint address = unused_address();
+    const auto server = caller_server::open(
+        poller, timers, [] { return instant{}; }, address,
+        {.limits = [] { return gateway::caller_limits{}; },
+         .handle =
+             [&requests](const incoming_request&) {
+                 ++requests;
+                 return nullptr;
+             },
+         .may_accept = [&overloaded] { return !overloaded; },
+         .max_connections = 1,
+         .connection_refused = [&reason](std::string_view why) { reason = why; }});
+    const auto connect_and_ask = [&address] {
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        to.sin_addr.s_addr = address.ip;
+        constexpr std::string_view text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
+            (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        }
+        run_main_loop();
+        return fd;
+    };
+    const int refused = connect_and_ask();
+    BOOST_TEST(requests == 0U);
+    BOOST_TEST(reason == "overloaded");
+    overloaded = false;
+    const int accepted = connect_and_ask();
+    BOOST_TEST(requests == 1U);
+    const int above = connect_and_ask();
+    BOOST_TEST(requests == 1U);
+    BOOST_TEST(reason == "too many connections");
+    for (const int fd : {refused, accepted, above}) {
+        ::close(fd);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
