[gateway] A plain answer that ends with its connection clears no suspect

Where an answer has neither a length nor chunks, the crash of its backend server may look like its end, and the answer would clear the request and its parts. Streams are not affected: they end inside an event then, which is checked. exchange_crashes/plain_answer_that_ends_with_its_connection_clears_no_suspect failed before (0 known crashes of 1).

--- a/modules/gateway/src/exchange_crashes.cpp
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -104,7 +104,11 @@
 
 void exchange::clear_crash_suspicion()
 {
-    if (!detail::is_success(head_.status)) {
+    // Where an answer ends with its connection, a crash may look like its end. Streams end inside
+    // an event then, which is checked before.
+    const bool may_be_cut =
+        head_.body == http1::framing::until_close && route_.kind != request_kind::streaming;
+    if (!detail::is_success(head_.status) || may_be_cut) {
         return;
     }
     auto& ledger = services_.suspects;
--- a/modules/gateway/tests/exchange_crashes_test.cpp
+++ b/modules/gateway/tests/exchange_crashes_test.cpp
@@ -192,4 +192,21 @@
     BOOST_TEST(it.backends.attempts.size() == 2U);
 }
 
+// Guards against clearing a suspect because its backend server's crash looks like the end of an
+// answer.
+BOOST_AUTO_TEST_CASE(plain_answer_that_ends_with_its_connection_clears_no_suspect)
+{
+    one_gateway it;
+    it.asked_parts = {{0xbad0, 10}, {0x7, 10}};
+    for (const auto framing : {http1::framing::until_close, http1::framing::sized}) {
+        it.suspects.crashed(identity_of_part(0xbad0), "gone", 0);
+        it.framing_of_answers = framing;
+        it.ask(as_is);
+        it.answer(200, "ok");
+        it.complete();
+        const std::size_t known = it.suspects.known_crashes(identity_of_part(0xbad0));
+        BOOST_TEST(known == (framing == http1::framing::until_close ? 1U : 0U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -70,6 +70,7 @@
         auto* const events = backends.last().events;
         http1::response_head head;
         head.status = status;
+        head.body = framing_of_answers;
         head.fields.add("X-Ran", ran ? "1" : "0");
         head.fields.add("X-Confidence", std::to_string(confidence));
         const std::size_t before = backends.attempts.size();
@@ -144,6 +145,7 @@
     std::vector<exchange_record> records;
     route_table_ptr table;
     route_spec asked_route;
+    http1::framing framing_of_answers = http1::framing::sized;
     std::vector<prompt_part> asked_parts; ///< of each request; the last one is its own
     exchange_services services{
         directory,
