--- a/src/cli/log_history.cpp
+++ b/src/cli/log_history.cpp
@@ -20,6 +20,8 @@
     std::string request;
     std::string backend;
     std::string identity;
+    std::vector<std::string> crashing_parts;
+    std::vector<std::string> parts;       ///< of the prompt, those that other requests may share
     std::vector<std::string> backing_off; ///< backend servers
     std::int64_t wait_ms = 0;             ///< of a `backend_backoff` line
 };
@@ -45,8 +47,8 @@
     return static_cast<std::int64_t>(timegm(&it)) * millis_per_second + part;
 }
 
-/// Returns the ids in a list of ID:MS.
-std::vector<std::string> parse_backing_off(std::string_view text)
+/// Returns the ids in a list of ID or ID:MS.
+std::vector<std::string> parse_ids(std::string_view text)
 {
     std::vector<std::string> out;
     while (!text.empty()) {
@@ -87,8 +89,12 @@
             out.backend = shown;
         } else if (name == "identity") {
             out.identity = shown;
+        } else if (name == "crashing_parts") {
+            out.crashing_parts = parse_ids(shown);
+        } else if (name == "parts") {
+            out.parts = parse_ids(shown);
         } else if (name == "backing_off") {
-            out.backing_off = parse_backing_off(shown);
+            out.backing_off = parse_ids(shown);
         } else if (name == "wait_ms" && field.is_number_integer()) {
             out.wait_ms = field.get<std::int64_t>();
         }
@@ -149,30 +155,51 @@
     return !version.empty() && it.message.starts_with("configuration " + version + " ");
 }
 
-/// What the lines of a request say that it has in common with equal ones.
-std::set<std::string> identities_of(const by_node& nodes, const std::string& request)
+/// What the lines of a request say that it has in common with others.
+struct request_traits {
+    std::set<std::string> identities;
+    std::set<std::string> crashing_parts; ///< for which it was refused
+};
+
+request_traits traits_of(const by_node& nodes, const std::string& request)
 {
-    std::set<std::string> out;
+    request_traits out;
     for (const auto& [node, lines] : nodes) {
         for (const auto& it : lines) {
-            if (!request.empty() && it.request == request && !it.identity.empty()) {
-                out.insert(it.identity);
+            if (request.empty() || it.request != request) {
+                continue;
             }
+            if (!it.identity.empty()) {
+                out.identities.insert(it.identity);
+            }
+            out.crashing_parts.insert(it.crashing_parts.begin(), it.crashing_parts.end());
         }
     }
     return out;
 }
 
+/// Whether a line is about a crash for which a request with these traits may be refused.
+bool is_about_crash(const parsed_line& it, const request_traits& traits)
+{
+    const auto is_crashing = [&traits](const std::string& part) {
+        return traits.crashing_parts.contains(part);
+    };
+    if (it.line.event == "suspect_refused") {
+        return std::any_of(it.crashing_parts.begin(), it.crashing_parts.end(), is_crashing);
+    }
+    return it.line.event == "request_crashed" &&
+           (traits.identities.contains(it.identity) ||
+            std::any_of(it.parts.begin(), it.parts.end(), is_crashing));
+}
+
 /// Lines that the query asks for, and those on the backend servers around them.
 std::vector<log_line> select(const by_node& nodes, const history_query& query)
 {
-    const auto equal_requests = identities_of(nodes, query.request);
+    const auto traits = traits_of(nodes, query.request);
     const auto is_asked_for = [&](const parsed_line& it) {
         const bool of_request = !query.request.empty() && it.request == query.request;
-        // The other attempts of its callers, as far as they crashed backend servers.
-        const bool of_equal =
-            it.line.event == "request_crashed" && equal_requests.contains(it.identity);
-        return of_request || of_equal || mentions_config(it, query.config_version);
+        return of_request || is_about_crash(it, traits) ||
+               mentions_config(it, query.config_version);
     };
     std::set<std::string> backends;
     std::int64_t first = std::numeric_limits<std::int64_t>::max();
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -301,10 +301,11 @@
         "  disagree. Lines on the request's backend servers are shown from N ms (3000) before it.\n"
         "  Example: hickorypost history --request 9c41d07be2a35f68 /var/log/gateway-*.log\n",
         run_history},
-    verb{"suspects", "list requests that may crash backend servers, and clear them",
+    verb{"suspects",
+         "list requests and prompt parts that may crash backend servers, and clear them",
          "hickorypost suspects --control URL[,URL...] [--clear IDENTITY]\n"
          "  Any gateway host answers for all; its control address, or HICKORYPOST_CONTROL.\n"
-         "  A refused request is tried again after a minute, and later each time it fails.\n"
+         "  A refused one is tried again after a minute, and later each time it fails.\n"
          "  Example: hickorypost suspects --control http://10.0.0.4:8080\n",
          run_suspects},
     verb{"evacuations", "list the evacuated failure domains, begin and end evacuations",
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -71,6 +71,23 @@
     BOOST_TEST(found.lines[1].text.find("backend=i-2") != std::string::npos);
 }
 
+// Guards against a refused request whose history does not show the crashes of its prompt part.
+BOOST_AUTO_TEST_CASE(history_shows_which_backends_a_refused_part_crashed)
+{
+    const std::string log =
+        line("a", "10.000",
+             R"("event":"request_crashed","request":"q1","backend":"i-1","parts":"a1,bad0")") +
+        line("a", "10.000",
+             R"("event":"request_crashed","request":"q2","backend":"i-2","parts":"a1,bad01")") +
+        line("a", "11.000", R"("event":"suspect_refused","crashing_parts":"bad0","crashes":3)") +
+        line("a", "12.000",
+             R"("event":"request_ended","request":"q","status":400,"crashing_parts":"bad0")");
+    const auto found = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(found.lines.size() == 3U);
+    BOOST_TEST(found.lines[0].text.find("backend=i-1") != std::string::npos);
+    BOOST_TEST(found.lines[1].event == "suspect_refused");
+}
+
 // Guards against a request whose backend servers were evacuated, which its history does not show.
 BOOST_AUTO_TEST_CASE(history_shows_evacuations_around_a_request)
 {
