[gateway] Parts that are always in flight together are refused together

A process test showed it: where bad requests share three parts and no sound request has shared any yet, the first part was named as the culprit, no part was listed as refused and attempts in flight went on. All parts with the same crashes are named, listed and tried together now; a request with only some of them is sent, and its success clears these. crash_parts/inseparable_parts_are_refused_together_only and crashing_part/operators_find_and_clear_a_refused_part_on_all_hosts.

--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -118,17 +118,18 @@
     enum class standing : std::uint8_t { unknown, suspect, refused, trial };
     struct judgement {
         standing result = standing::unknown;
-        /// The suspect that `refused` or `trial` is about.
-        std::optional<request_identity> culprit;
+        /// The suspects that `refused` or `trial` is about. Several if they were always in flight
+        /// together: which of them is to blame is not known.
+        std::vector<request_identity> culprits;
     };
-    /// Judges a request by its identity and its parts. Which of these is to blame need not be
-    /// known. Returns `trial` if a refused request may be sent once; the caller then calls `tried`.
+    /// Judges a request by its identity and its parts. Returns `trial` if a refused request may be
+    /// sent once; the caller then calls `tried`.
     [[nodiscard]] judgement judge(std::span<const request_identity> suspects) const;
     [[nodiscard]] standing standing_of(const request_identity& identity) const
     {
         return judge({&identity, 1}).result;
     }
-    /// The number of crashes that count against a suspect.
+    /// The number of crashes that count against a suspect, or against inseparable parts together.
     [[nodiscard]] std::uint32_t crashes(const request_identity& identity) const;
     /// The number of crashes in which a suspect was in flight, whether or not they count.
     [[nodiscard]] std::size_t known_crashes(const request_identity& identity) const;
@@ -203,6 +204,9 @@
                                               std::span<const request_identity> same_request) const;
     [[nodiscard]] standing standing_of(const record_map::value_type& entry,
                                        std::span<const request_identity> same_request) const;
+    /// The suspect itself and, for a part, the parts that were in flight in the same crashes.
+    [[nodiscard]] std::vector<request_identity>
+    inseparable_suspects(const record_map::value_type& entry) const;
     /// Calls `refused_` if a crash made the suspect refused.
     void report_if_refused(const request_identity& identity);
     [[nodiscard]] instant trial_due(const record& entry, std::uint32_t crashes) const;
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -109,8 +109,8 @@
     double prompt_tokens = 0;
     double output_tokens = 0;
     std::optional<request_identity> identity; ///< set if it was computed
-    /// Part for which the request was refused.
-    std::optional<std::uint64_t> crashing_part;
+    /// Prompt parts for which the request was refused.
+    std::vector<std::uint64_t> crashing_parts;
 };
 
 /// Components of the process that all its requests share.
@@ -203,8 +203,8 @@
     [[nodiscard]] std::vector<request_identity> known_suspects();
     /// Whether the request is suspected to crash backend servers.
     [[nodiscard]] crash_ledger::judgement judge();
-    /// What the current attempt is known to crash its backend server for; empty for a trial.
-    [[nodiscard]] std::optional<request_identity> refused_in_flight();
+    /// Why the current attempt is known to crash its backend server; empty for a trial.
+    [[nodiscard]] std::vector<request_identity> refused_in_flight();
     /// Shared parts of the prompt that are suspects if the request's backend server crashes.
     [[nodiscard]] std::span<const prompt_part> suspect_parts() const;
     /// Notes what the ledger knows of this request, when an attempt is sent.
@@ -214,7 +214,7 @@
     void continue_after_break(std::string_view why);
     /// A successful answer shows that the request does not crash backend servers.
     void clear_crash_suspicion();
-    void reject_as_crashing(const request_identity& culprit);
+    void reject_as_crashing(std::span<const request_identity> culprits);
     [[nodiscard]] int priority() const;
     /// The best candidate with room under its limit; null if there is none. If the best candidate
     /// has no room, removes all candidates without room.
--- a/modules/gateway/src/crash_blame.cpp
+++ b/modules/gateway/src/crash_blame.cpp
@@ -31,6 +31,22 @@
     return out;
 }
 
+/// A request is not sent as a trial if something else about it is refused.
+int severity(crash_ledger::standing it)
+{
+    switch (it) {
+    case crash_ledger::standing::unknown:
+        return 0;
+    case crash_ledger::standing::suspect:
+        return 1;
+    case crash_ledger::standing::trial:
+        return 2;
+    case crash_ledger::standing::refused:
+        break;
+    }
+    return 3;
+}
+
 } // namespace
 
 bool crash_ledger::has_likelier_suspect(const record_map::value_type& entry,
@@ -67,7 +83,31 @@
 std::uint32_t crash_ledger::crashes(const request_identity& identity) const
 {
     const auto found = records_.find(identity);
-    return found == records_.end() ? 0 : count_crashes(*found, {&identity, 1});
+    return found == records_.end() ? 0 : count_crashes(*found, inseparable_suspects(*found));
+}
+
+std::vector<request_identity>
+crash_ledger::inseparable_suspects(const record_map::value_type& entry) const
+{
+    std::vector<request_identity> out{entry.first};
+    const auto& events = entry.second.events;
+    if (!is_part(entry.first) || events.empty()) {
+        return out;
+    }
+    for (const auto& other : crashed_backends_.find(events.back().backend)->second.identities) {
+        const auto& others = records_.at(other).events;
+        const bool same_crashes =
+            others.size() == events.size() &&
+            std::all_of(events.begin(), events.end(), [&others](const crash_event& event) {
+                return std::any_of(others.begin(), others.end(), [&event](const auto& it) {
+                    return it.backend == event.backend;
+                });
+            });
+        if (is_part(other) && other != entry.first && same_crashes) {
+            out.push_back(other);
+        }
+    }
+    return out;
 }
 
 std::size_t crash_ledger::known_crashes(const request_identity& identity) const
@@ -109,13 +149,11 @@
             continue;
         }
         const standing it = standing_of(*found, suspects);
-        if (it == standing::refused) {
-            return {it, identity};
+        if (severity(it) > severity(out.result)) {
+            out = {it, {}};
         }
-        if (it == standing::trial) {
-            out = {it, identity};
-        } else if (out.result == standing::unknown) {
-            out.result = it;
+        if (it == out.result && (it == standing::refused || it == standing::trial)) {
+            out.culprits.push_back(identity);
         }
     }
     return out;
@@ -125,7 +163,7 @@
 {
     const auto found = records_.find(identity);
     const bool refused = found->second.events.size() >= settings_.max_crashes &&
-                         count_crashes(*found, {&identity, 1}) >= settings_.max_crashes;
+                         crashes(identity) >= settings_.max_crashes;
     const bool is_new = refused && !found->second.reported_refused;
     found->second.reported_refused = refused;
     if (is_new && refused_) {
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -191,9 +191,9 @@
 
 void exchange::try_attempt()
 {
-    const auto [suspicion, culprit] = judge();
+    const auto [suspicion, culprits] = judge();
     if (suspicion == crash_ledger::standing::refused) {
-        reject_as_crashing(*culprit);
+        reject_as_crashing(culprits);
         return;
     }
     auto candidates = selectable_backends();
@@ -228,7 +228,9 @@
     }
     is_trial_ = suspicion == crash_ledger::standing::trial;
     if (is_trial_) {
-        services_.suspects.tried(*culprit);
+        for (const auto& it : culprits) {
+            services_.suspects.tried(it);
+        }
         services_.note(record_, "tried", "one trial of a request that has crashed backend servers");
     }
     send_to(*to, job);
--- a/modules/gateway/src/exchange_crashes.cpp
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -120,16 +120,16 @@
     }
 }
 
-std::optional<request_identity> exchange::refused_in_flight()
+std::vector<request_identity> exchange::refused_in_flight()
 {
-    const auto [suspicion, culprit] = judge();
-    const bool refused = suspicion == crash_ledger::standing::refused && !is_trial_;
-    return refused ? culprit : std::nullopt;
+    auto it = judge();
+    const bool refused = it.result == crash_ledger::standing::refused && !is_trial_;
+    return refused ? std::move(it.culprits) : std::vector<request_identity>{};
 }
 
 bool exchange::may_send()
 {
-    return !refused_in_flight();
+    return refused_in_flight().empty();
 }
 
 void exchange::suspects_changed()
@@ -138,29 +138,33 @@
     if (finished_ || !current_attempt_ || stage_ == stage::relaying) {
         return;
     }
-    if (const auto culprit = refused_in_flight()) {
+    if (const auto culprits = refused_in_flight(); !culprits.empty()) {
         may_have_run_ = true;
         end_attempt(attempt_result::dropped);
-        reject_as_crashing(*culprit);
+        reject_as_crashing(culprits);
     }
 }
 
-void exchange::reject_as_crashing(const request_identity& culprit)
+void exchange::reject_as_crashing(std::span<const request_identity> culprits)
 {
-    std::string why = "request crashes the backend servers that run it";
-    std::string text = "This request has crashed the backend servers that ran it.\n";
-    if (is_part(culprit)) {
-        record_.crashing_part = culprit.digest;
-        const std::string part = part_text(culprit.digest);
-        why = "prompt part " + part + " crashes the backend servers that run requests with it";
-        text = "Requests with the prompt part " + part +
-               " have crashed the backend servers that ran them.\n";
+    std::string names;
+    for (const auto& it : culprits) {
+        if (is_part(it)) {
+            record_.crashing_parts.push_back(it.digest);
+            names += (names.empty() ? "" : ",") + part_text(it.digest);
+        }
     }
+    const std::string why =
+        names.empty() ? "request crashes the backend servers that run it"
+                      : "prompt part " + names + " crashes the backend servers that run it";
     if (stage_ == stage::relaying) {
         caller_.break_off();
         finish(exchange_outcome::broken_off, head_.status, why);
         return;
     }
+    std::string text = names.empty() ? "This request has crashed the backend servers that ran it.\n"
+                                     : "Requests with the prompt part " + names +
+                                           " have crashed the backend servers that ran them.\n";
     caller_.respond(gateway_response(status_bad_request), std::move(text));
     finish(may_have_run_ ? exchange_outcome::failed : exchange_outcome::rejected,
            status_bad_request, why);
--- a/modules/gateway/tests/crash_parts_test.cpp
+++ b/modules/gateway/tests/crash_parts_test.cpp
@@ -135,7 +135,7 @@
     }
     const auto verdict = it.ledgers[1]->judge(test_hosts::suspects(request_with({bad_part})));
     BOOST_TEST((verdict.result == standing::refused));
-    BOOST_TEST((verdict.culprit == identity_of_part(bad_part)));
+    BOOST_TEST((verdict.culprits == std::vector{identity_of_part(bad_part)}));
     auto& late = it.add_host();
     for (const auto& fact : it.ledgers[0]->all()) {
         late.take(fact);
@@ -224,6 +224,22 @@
     BOOST_TEST((it.judge(request_with({rare_part})) != standing::refused));
 }
 
+// Guards against refusing nothing, or a sound part alone, because two parts are always together.
+BOOST_AUTO_TEST_CASE(inseparable_parts_are_refused_together_only)
+{
+    test_hosts it{1};
+    for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
+        it.crash(backend, {request_with({bad_part, rare_part})});
+    }
+    BOOST_TEST((it.judge(request_with({bad_part, rare_part})) == standing::refused));
+    BOOST_TEST((it.judge(request_with({rare_part})) != standing::refused));
+    for (const auto& row : it.ledgers[0]->suspects()) {
+        BOOST_TEST(row.refused == is_part(row.identity));
+    }
+    it.ledgers[0]->part_succeeded(rare_part);
+    BOOST_TEST((it.judge(request_with({bad_part})) == standing::refused));
+}
+
 // Guards against callers that fill the memory with parts of their own.
 BOOST_AUTO_TEST_CASE(part_with_crashes_outlives_a_flood_of_others)
 {
--- a/modules/gateway/tests/exchange_crashes_test.cpp
+++ b/modules/gateway/tests/exchange_crashes_test.cpp
@@ -147,7 +147,7 @@
     BOOST_TEST(it.backends.attempts.empty());
     BOOST_TEST(it.caller.status == 400U);
     BOOST_TEST(it.caller.body.find("bad0") != std::string::npos);
-    BOOST_TEST((it.records.back().crashing_part == std::optional<std::uint64_t>{0xbad0}));
+    BOOST_TEST((it.records.back().crashing_parts == std::vector<std::uint64_t>{0xbad0}));
     // The last part is specific to the request.
     it.asked_parts = {{0xa1, 10}, {0xbad0, 10}};
     it.ask(as_is);
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -38,11 +38,11 @@
 
 /// Formats as ID:MS, separated by commas.
 /// Prompt parts as callers write them, separated by commas.
-std::string format_parts(const std::vector<gateway::attempted_part>& parts)
+std::string format_parts(const std::vector<std::uint64_t>& parts)
 {
     std::string out;
-    for (const auto& part : parts) {
-        out += (out.empty() ? "" : ",") + gateway::part_text(part.id);
+    for (const auto id : parts) {
+        out += (out.empty() ? "" : ",") + gateway::part_text(id);
     }
     return out;
 }
@@ -138,8 +138,8 @@
     if (record.identity) {
         line.add("identity", gateway::to_text(*record.identity));
     }
-    if (record.crashing_part) {
-        line.add("crashing_part", gateway::part_text(*record.crashing_part));
+    if (!record.crashing_parts.empty()) {
+        line.add("crashing_parts", format_parts(record.crashing_parts));
     }
     env_.log->info("{}", line.payload());
 }
@@ -196,7 +196,10 @@
         .add("crashes_before", attempt.crashes_before)
         .add("known_crashes", known);
     if (!attempt.parts.empty()) {
-        line.add("parts", format_parts(attempt.parts));
+        std::vector<std::uint64_t> ids;
+        std::transform(attempt.parts.begin(), attempt.parts.end(), std::back_inserter(ids),
+                       [](const auto& part) { return part.id; });
+        line.add("parts", format_parts(ids));
     }
     env_.log->info("{}", line.payload());
 }
@@ -237,7 +240,7 @@
     telemetry::event_line line{"suspect_refused"};
     line.add("identity", gateway::to_text(suspect));
     if (gateway::is_part(suspect)) {
-        line.add("crashing_part", gateway::part_text(suspect.digest));
+        line.add("crashing_parts", gateway::part_text(suspect.digest));
     }
     line.add("crashes", crashes).add("known_crashes", known);
     env_.log->warn("{}", line.payload());
