[gateway] Only the parts in the most crashes are named as refused

A request with the bad part and a sound one that had not succeeded yet was refused in the name of both. A suspect of the same request with more crashes explains a crash as one of another request does; only ties within a request are left open. crash_parts/only_the_part_in_the_most_crashes_is_named.

--- a/modules/gateway/include/hickorypost/gateway/crash_ledger.h
+++ b/modules/gateway/include/hickorypost/gateway/crash_ledger.h
@@ -77,11 +77,11 @@
 /// the most crashes. A part and another suspect with equally many do not count: neither is known to
 /// be to blame. A part is usually in flight everywhere, so it is no suspect of a crash if a request
 /// with it has succeeded a short time before.
-/// Crashes of attempts that were sent with the same
-/// number of known crashes count once: many callers send equal requests, and several
-/// backend servers that end at the same moment would otherwise suffice to refuse them. That number
-/// orders crashes causally, since facts reach hosts with different delays. A success voids all
-/// crashes that its host knows.
+///
+/// Crashes of attempts that were sent with the same number of known crashes count once: many
+/// callers send equal requests, and several backend servers that end at the same moment would
+/// otherwise suffice to refuse them. That number orders crashes causally, since facts reach hosts
+/// with different delays. A success voids all crashes that its host knows.
 class crash_ledger {
 public:
     using share_fn = std::function<void(const crash_fact&)>;
@@ -194,8 +194,9 @@
     void erase(record_map::iterator at);
     /// Removes the identities with the fewest crashes until a fact fits.
     void evict();
-    /// Whether another suspect in flight in this crash, not among `same_request`, was in more
-    /// crashes, or in equally many if one of the two is a part.
+    /// Whether another suspect in flight in this crash was in more crashes, or in equally many if
+    /// one of the two is a part and the other suspect is not among `same_request`, which includes
+    /// the suspect itself.
     [[nodiscard]] bool has_likelier_suspect(const record_map::value_type& entry,
                                             const crash_event& event,
                                             std::span<const request_identity> same_request) const;
--- a/modules/gateway/src/crash_blame.cpp
+++ b/modules/gateway/src/crash_blame.cpp
@@ -57,9 +57,10 @@
     const auto& in_flight = crashed_backends_.find(event.backend)->second.identities;
     return std::any_of(in_flight.begin(), in_flight.end(), [&](const request_identity& other) {
         const std::size_t others = records_.at(other).events.size();
-        const bool likelier = others > n || (others == n && other != entry.first &&
-                                             (is_part(other) || is_part(entry.first)));
-        return likelier &&
+        if (others != n) {
+            return others > n;
+        }
+        return (is_part(other) || is_part(entry.first)) &&
                std::find(same_request.begin(), same_request.end(), other) == same_request.end();
     });
 }
--- a/modules/gateway/tests/crash_parts_test.cpp
+++ b/modules/gateway/tests/crash_parts_test.cpp
@@ -240,6 +240,19 @@
     BOOST_TEST((it.judge(request_with({bad_part})) == standing::refused));
 }
 
+// Guards against naming a sound part of a refused request beside the part that is to blame.
+BOOST_AUTO_TEST_CASE(only_the_part_in_the_most_crashes_is_named)
+{
+    test_hosts it{1};
+    it.crash("i-0", {request_with({bad_part})});
+    for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
+        it.crash(backend, {request_with({bad_part, rare_part})});
+    }
+    const auto verdict =
+        it.ledgers[0]->judge(test_hosts::suspects(request_with({rare_part, bad_part})));
+    BOOST_TEST((verdict.culprits == std::vector{identity_of_part(bad_part)}));
+}
+
 // Guards against callers that fill the memory with parts of their own.
 BOOST_AUTO_TEST_CASE(part_with_crashes_outlives_a_flood_of_others)
 {
