--- a/modules/gateway/tests/crash_parts_test.cpp
+++ b/modules/gateway/tests/crash_parts_test.cpp
@@ -145,18 +145,18 @@
 
 // Guards against refusing sound requests that were in flight on three crashed backend servers, and
 // those that share their rare parts.
-BOOST_AUTO_TEST_CASE(request_beside_the_bad_part_in_three_crashes_is_not_refused)
+BOOST_AUTO_TEST_CASE(bystander_of_the_bad_part_in_three_crashes_is_not_refused)
 {
     test_hosts it{1};
-    const auto beside = request_with({rare_part});
+    const auto bystander = request_with({rare_part});
     for (const auto* const backend : {"i-1", "i-2", "i-3"}) {
-        it.crash(backend, {request_with({bad_part}), beside});
-        BOOST_TEST((it.judge(beside) != standing::refused));
+        it.crash(backend, {request_with({bad_part}), bystander});
+        BOOST_TEST((it.judge(bystander) != standing::refused));
         BOOST_TEST((it.judge(request_with({rare_part})) != standing::refused));
     }
     it.crash("i-4", {request_with({bad_part})});
     BOOST_TEST((it.judge(request_with({bad_part})) == standing::refused));
-    BOOST_TEST((it.judge(beside) != standing::refused));
+    BOOST_TEST((it.judge(bystander) != standing::refused));
 }
 
 // Guards against refusing what is in flight everywhere, also at hosts on which it has not run.
@@ -240,7 +240,7 @@
     BOOST_TEST((it.judge(request_with({bad_part})) == standing::refused));
 }
 
-// Guards against naming a sound part of a refused request beside the part that is to blame.
+// Guards against naming a sound part of a refused request next to the part that is to blame.
 BOOST_AUTO_TEST_CASE(only_the_part_in_the_most_crashes_is_named)
 {
     test_hosts it{1};
@@ -390,7 +390,7 @@
 } // namespace
 
 // Guards against late sends by hosts that learn of crashes with a delay, and against refusing sound
-// requests that run beside the bad ones.
+// requests that run on the same engines as the bad ones.
 BOOST_AUTO_TEST_CASE(few_bad_requests_are_sent_and_no_sound_one_is_refused)
 {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
