--- a/src/cli/suspects_verb.cpp
+++ b/src/cli/suspects_verb.cpp
@@ -23,18 +23,17 @@
         std::cerr << "hickorypost: " << reply.body << "\n";
         return exit_code::refused;
     }
-    std::printf("%-32s  %-16s  %7s  %7s  %9s  %s\n", "identity", "prompt part", "crashes",
-                "refused", "last, s ago", "backends");
+    std::printf("%-32s  %7s  %7s  %11s  %s  %s\n", "identity", "crashes", "refused", "last, s ago",
+                "backends", "prompt part");
     for (const auto& it : json["Suspects"]) {
         std::string backends;
         for (const auto& backend : it.at("Backends")) {
             backends += (backends.empty() ? "" : ",") + backend.get<std::string>();
         }
-        std::printf("%-32s  %-16s  %7u  %7s  %11.1f  %s\n",
-                    it.at("Identity").get<std::string>().c_str(),
-                    it.value("Part", std::string{"-"}).c_str(), it.at("Crashes").get<unsigned>(),
+        std::printf("%-32s  %7u  %7s  %11.1f  %s  %s\n",
+                    it.at("Identity").get<std::string>().c_str(), it.at("Crashes").get<unsigned>(),
                     it.at("Refused").get<bool>() ? "yes" : "no", it.at("SinceLastS").get<double>(),
-                    backends.c_str());
+                    backends.c_str(), it.value("Part", std::string{"-"}).c_str());
     }
     return exit_code::done;
 }
