[gateway] Engine speed and memory count in the choice of an engine

The balancer assumed one speed for all engines.

Each host now estimates an engine's speed by a low quantile of the intervals between its events and shares it with the load reports. Prefill and streams cost more on slow engines, rendezvous hashing prefers fast ones, and prefill that delays running streams counts from 300 ms on. Engines whose memory would run out are the last choice. first_event_error_seconds compares expected and actual first events.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -105,7 +105,10 @@
     std::uint64_t events = 0;
     micros to_first{0};    ///< from the request's arrival to its first event or answer's head
     micros longest_gap{0}; ///< between two deliveries of a stream's events
-    micros total{0};       ///< from the request's arrival to its end
+    /// Of the last attempt on an engine, from its start to its first event.
+    double expected_first_ms = 0;
+    double attempt_first_ms = 0; ///< 0: no event
+    micros total{0};             ///< from the request's arrival to its end
     double prompt_tokens = 0;
     double output_tokens = 0;
     std::optional<request_identity> identity; ///< set if it was computed
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -3,6 +3,7 @@
 #include "hickorypost/base/time.h"
 #include "hickorypost/gateway/backend_directory.h"
 #include "hickorypost/gateway/way_quality.h"
+#include "hickorypost/scheduling/engine_speed.h"
 
 #include <functional>
 #include <span>
@@ -33,13 +34,16 @@
     std::string model;
     std::vector<prompt_part> parts; ///< in prompt order
     bool suspect = false;           ///< the request may crash the backend server that runs it
+    double engine_memory = 0;       ///< KV cache of each candidate, in tokens; 0: unknown
 };
 
 /// Work on a backend server, as gateway processes report it to each other.
 struct remote_load {
     double requests = 0;
-    double prefill_ms = 0;  ///< pending prefill of requests that have no first event yet
-    double connections = 0; ///< open ones; hosts of earlier releases report none
+    double prefill_ms = 0;          ///< pending prefill of requests that have no first event yet
+    double connections = 0;         ///< open ones; hosts of earlier releases report none
+    scheduling::speed_sample speed; ///< event intervals; hosts of earlier releases report none
+    double tokens = 0; ///< KV cache that the requests need; hosts of earlier releases report none
 };
 
 /// Outcome of one attempt, from which the balancer updates its statistics.
@@ -61,7 +65,7 @@
     /// Cost to a new request of each stream that runs concurrently, in milliseconds.
     double per_stream_ms = 1.0;
     /// Prefill up to this many milliseconds pauses running streams only briefly.
-    double tolerated_prefill_ms = 600;
+    double tolerated_prefill_ms = 300;
     /// Cost in milliseconds of each millisecond of prefill beyond `tolerated_prefill_ms`, for each
     /// running stream.
     double stream_delay_factor = 0.03;
@@ -86,6 +90,11 @@
     bool use_rendezvous_hashing = true;
     /// Include the load that other gateway processes report.
     bool use_remote_load = true;
+    /// Use the measured speeds of the engines.
+    bool use_engine_speed = true;
+    /// Share of an engine's KV cache that requests in flight may fill: an engine whose memory runs
+    /// out preempts requests or crashes, and the lengths of answers are only estimated.
+    double memory_share = 0.9;
     /// Add the expected wait for a free slot to the cost of an engine whose slots are all in use.
     bool count_slot_wait = true;
     /// Time for which engines keep a prompt part cached after its last use.
@@ -134,8 +143,11 @@
         bool has_first_event = false;
         instant started;
         std::string failure_domain;
-        bool delayed = false;   ///< the network delayed its events at least once
-        instant first_event_at; ///< time of the first event
+        bool delayed = false;            ///< the network delayed its events at least once
+        instant first_event_at;          ///< time of the first event
+        std::uint32_t speed_samples = 0; ///< event intervals recorded as the engine's speed
+        double tokens = 0;               ///< KV cache that the request needs
+        double expected_first_ms = 0;    ///< expected time until the first event
     };
 
     /// Returns the candidate with the lowest cost that is not in `tried`; null if none is left.
@@ -156,6 +168,19 @@
     /// cached.
     [[nodiscard]] double prefill_ms(const job_size& job, double cached) const;
     /// Estimated pending prefill time of a backend server, from local and reported load.
+    /// Expected milliseconds until an engine begins the prefill of a new request.
+    [[nodiscard]] double expected_wait_ms(const backend_entry& on) const;
+    /// Expected milliseconds until the first event of a request that is sent to `on` now.
+    [[nodiscard]] double expected_first_event_ms(const backend_entry& on, const job_size& job,
+                                                 instant now);
+    /// Speed and load of one backend server, for operators.
+    struct backend_view {
+        double requests = 0;   ///< of all processes
+        double prefill_ms = 0; ///< pending, of all processes, on a reference engine
+        double slowdown = 1;   ///< against the median of the last choice's candidates
+        double tokens = 0;     ///< KV cache of the requests in flight
+    };
+    [[nodiscard]] backend_view view(const std::string& backend) const;
     [[nodiscard]] millis prefill_left(const std::string& backend) const;
     /// Whether the backend server has rejected a request and its saturation backoff has not passed.
     [[nodiscard]] bool is_saturated(const std::string& backend, instant now) const;
@@ -171,7 +196,10 @@
     struct backend_load {
         double requests = 0;
         double prefill_ms = 0;
-        remote_load remote;        ///< load of all other processes
+        double tokens = 0;
+        remote_load remote; ///< load of all other processes
+        scheduling::engine_speed speed{{}};
+        double slowdown = 1;       ///< against the median engine, as of the last choice
         double failure_ratio = 0;  ///< moving average at `last_request_at`
         double service_ms = 0;     ///< moving average; 0: no sample yet
         double service_weight = 1; ///< weight of that average, decays while idle
@@ -193,7 +221,14 @@
         double service_ms = 0; ///< of the fastest; assumed for unmeasured candidates
     };
 
+    /// Passes this process's load on a backend server to `changed_`.
+    void report_change(const std::string& backend, const backend_load& load);
     void collect_candidates(std::span<const backend_entry* const> candidates);
+    /// Updates the slowdowns of the candidates.
+    void compute_slowdowns();
+    /// Ratio of actual to expected times until first events.
+    [[nodiscard]] double calibration() const;
+    void calibrate(double expected_ms, double actual_ms);
     void compute_part_keys(const job_size& job);
     /// The candidate that ranks highest by rendezvous hashing of the shared parts; null if the
     /// prompt has none.
@@ -217,7 +252,12 @@
     changed_fn changed_;
     way_quality path_quality_{{}};
     double slot_ms_; ///< moving average of the time that a stream occupies its slot
+    /// Sums of actual and expected times until first events, with exponential decay. Their ratio
+    /// calibrates `prefill_ms` to the engines.
+    double actual_first_ms_ = 0;
+    double expected_first_ms_ = 0;
     std::vector<candidate> candidates_;    ///< of the current choice
+    std::vector<double> intervals_;        ///< event intervals of `candidates_`; scratch space
     std::vector<std::uint64_t> part_keys_; ///< of the shared parts of the current prompt
 };
 
--- a/modules/gateway/include/hickorypost/gateway/load_table.h
+++ b/modules/gateway/include/hickorypost/gateway/load_table.h
@@ -15,6 +15,8 @@
     double min_prefill_change_ms = 15;
     double min_requests_change = 3;
     double min_connections_change = 3;
+    /// Smallest relative change of an engine's event interval that is reported.
+    double min_speed_change = 0.15;
 };
 
 /// The load of each gateway process on each backend server. Determines which totals have changed
@@ -54,6 +56,7 @@
         bool is_changed = false;
     };
 
+    [[nodiscard]] bool must_be_reported(const row& it) const;
     /// Recomputes the total and marks the row if it must be reported.
     void update_total(row& it, const std::string& backend);
 
--- a/modules/gateway/src/decision_settings.cpp
+++ b/modules/gateway/src/decision_settings.cpp
@@ -16,6 +16,8 @@
 constexpr std::array mechanism_table{
     mechanism{"cold_start_hold", "requests wait while a starting process obtains the current state",
               [](all_settings& it) { it.start_hold = millis{0}; }},
+    mechanism{"engine_speed", "the measured speeds of the engines count",
+              [](all_settings& it) { it.balancer.use_engine_speed = false; }},
     mechanism{"failure_margin", "backend servers that fail more often than others are avoided",
               [](all_settings& it) { it.balancer.failure_margin = 1; }},
     mechanism{"held_up_streams", "long prompts go to engines where they delay few streams",
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -185,6 +185,7 @@
     out.model = model;
     if (service_ != nullptr && service_->engine) {
         out.pace = model_choice::pace(*service_->engine, out.model);
+        out.engine_memory = service_->engine->memory_tokens;
     }
     return out;
 }
@@ -283,6 +284,8 @@
     services_.limits.sent(to.record.id);
     services_.backoffs.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
+    record_.expected_first_ms = ticket_->expected_first_ms;
+    record_.attempt_first_ms = 0;
     target_ = {to.record.id, to.record.address, record_.service,
                service_ == nullptr ? 0 : service_->max_connections, to.record.name};
     current_attempt_ = services_.backends.start(target_, services_.write_head(request_, order),
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -231,6 +231,8 @@
     const instant now = services_.now();
     if (attempt_first_event_at_ == instant{}) {
         attempt_first_event_at_ = now;
+        record_.attempt_first_ms = static_cast<double>((now - attempt_started_at_).count()) /
+                                   static_cast<double>(micros{millis{1}}.count());
         attempt_event_count_ = 0;
         return;
     }
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -22,6 +22,8 @@
 /// Cost of a backend server on probation or saturated: high enough that it is used only where no
 /// other is left.
 constexpr double unavailable_cost_ms = 1e6;
+/// Cost of an engine whose memory may run out: above that of any load, below `unavailable_cost_ms`.
+constexpr double out_of_memory_cost_ms = 1e5;
 /// Cost of a failure ratio that exceeds the margin by 1.
 constexpr double failure_cost_ms = 400;
 
@@ -30,6 +32,15 @@
     return hash_bytes(model, part.id);
 }
 
+/// Maps a hash to a number greater than 0 and less than 1. The order of two hashes stays the same.
+double unit_interval(std::uint64_t hash)
+{
+    constexpr unsigned mantissa_bits = 53;
+    constexpr auto steps = static_cast<double>(std::uint64_t{1} << mantissa_bits);
+    constexpr unsigned dropped_bits = 64 - mantissa_bits;
+    return (static_cast<double>(hash >> dropped_bits) + 0.5) / steps;
+}
+
 /// A backoff that starts at `first` and doubles with each of `failures` before, up to `longest`.
 millis grown_backoff(millis first, millis longest, std::uint32_t failures)
 {
@@ -60,6 +71,25 @@
     }
 }
 
+void load_balancer::compute_slowdowns()
+{
+    intervals_.clear();
+    for (const auto& it : candidates_) {
+        if (const double interval = it.load->speed.interval_ms(); interval > 0) {
+            intervals_.push_back(interval);
+        }
+    }
+    if (!settings_.use_engine_speed || intervals_.empty()) {
+        return;
+    }
+    const auto middle =
+        intervals_.begin() + static_cast<std::ptrdiff_t>((intervals_.size() - 1) / 2);
+    std::nth_element(intervals_.begin(), middle, intervals_.end());
+    for (const auto& it : candidates_) {
+        it.load->slowdown = it.load->speed.slowdown(*middle);
+    }
+}
+
 void load_balancer::compute_part_keys(const job_size& job)
 {
     part_keys_.clear();
@@ -71,12 +101,16 @@
 const backend_entry* load_balancer::preferred_engine() const
 {
     const backend_entry* out = nullptr;
-    std::uint64_t highest = 0;
+    double highest = 0;
     for (const auto& it : candidates_) {
         if (part_keys_.empty() || !settings_.use_rendezvous_hashing) {
             break;
         }
-        const std::uint64_t rank = hash_bytes(it.entry->record.id, part_keys_.back());
+        // Weighted rendezvous hashing: an engine that is twice as fast is preferred for four times
+        // as many prompts. Long prompts are most of the prefill, and on slow engines they make the
+        // pauses of other streams exceed their target.
+        const double uniform = unit_interval(hash_bytes(it.entry->record.id, part_keys_.back()));
+        const double rank = -1 / (it.load->slowdown * it.load->slowdown * std::log(uniform));
         if (out == nullptr || rank > highest) {
             highest = rank;
             out = it.entry;
@@ -121,10 +155,16 @@
     double out = it.record.failure_domain == own_domain_ ? 0 : settings_.other_domain_ms;
     if (job.prompt_tokens > 0) {
         out += settings_.impaired_path_ms * path_quality_.excess(it.record.failure_domain, now);
-        const double prefill = load.prefill_ms + remote.prefill_ms + prefill_ms(job, 0);
+        const double prefill =
+            load.slowdown * (load.prefill_ms + remote.prefill_ms + prefill_ms(job, 0));
         const double disruptive = std::max(0.0, prefill - settings_.tolerated_prefill_ms);
         out += prefill;
-        out += running * (settings_.per_stream_ms + settings_.stream_delay_factor * disruptive);
+        out += running * (load.slowdown * settings_.per_stream_ms +
+                          settings_.stream_delay_factor * disruptive);
+        const double tokens = load.tokens + remote.tokens + job.prompt_tokens + job.output_tokens;
+        if (job.engine_memory > 0 && tokens > settings_.memory_share * job.engine_memory) {
+            out += out_of_memory_cost_ms;
+        }
         if (settings_.count_slot_wait && running >= slots) {
             out += (running - slots + 1) * slot_ms_ / slots;
         }
@@ -181,6 +221,7 @@
                                            instant now)
 {
     collect_candidates(candidates);
+    compute_slowdowns();
     compute_part_keys(job);
     const auto* const preferred = preferred_engine();
     const baseline base = compute_baseline(now);
@@ -224,8 +265,14 @@
     load.service_weight *=
         decay(now - std::exchange(load.last_request_at, now), settings_.service_half_life);
     const double prefill = prefill_ms(job, cached);
+    ticket out{on.record.id, prefill, job.prompt_tokens > 0, false, now, on.record.failure_domain};
+    out.tokens = std::max(0.0, job.prompt_tokens - cached) + job.output_tokens;
+    if (out.streaming) {
+        out.expected_first_ms = expected_wait_ms(on) + calibration() * load.slowdown * prefill;
+    }
     load.prefill_ms += prefill;
-    changed_(on.record.id, {load.requests, load.prefill_ms, 0});
+    load.tokens += out.tokens;
+    report_change(on.record.id, load);
     if (load.probation_until > now) {
         // One attempt at a time while on probation.
         load.probation_until = now + settings_.longest_probation;
@@ -234,8 +281,62 @@
         // One attempt at a time until it is known whether the backend server still rejects.
         load.saturated_until = now + settings_.first_saturation_backoff;
     }
-    return {on.record.id, prefill, job.prompt_tokens > 0, false, now, on.record.failure_domain,
-            false};
+    return out;
+}
+
+double load_balancer::calibration() const
+{
+    return expected_first_ms_ <= 0 ? 1 : actual_first_ms_ / expected_first_ms_;
+}
+
+void load_balancer::calibrate(double expected_ms, double actual_ms)
+{
+    // Sums over the prior and about the last hundred first events of this process.
+    constexpr double keep = 0.99;
+    constexpr double prior_ms = 1000;
+    if (expected_first_ms_ <= 0) {
+        actual_first_ms_ = expected_first_ms_ = prior_ms;
+    }
+    actual_first_ms_ = keep * actual_first_ms_ + actual_ms;
+    expected_first_ms_ = keep * expected_first_ms_ + expected_ms;
+}
+
+double load_balancer::expected_wait_ms(const backend_entry& on) const
+{
+    const auto found = loads_.find(on.record.id);
+    if (found == loads_.end()) {
+        return 0;
+    }
+    const backend_load& load = found->second;
+    const double running = load.requests + load.remote.requests;
+    const double slots = std::max<std::uint32_t>(1, on.record.slots);
+    const double slot_wait = running < slots ? 0 : (running - slots + 1) * slot_ms_ / slots;
+    return slot_wait + calibration() * load.slowdown * (load.prefill_ms + load.remote.prefill_ms);
+}
+
+double load_balancer::expected_first_event_ms(const backend_entry& on, const job_size& job,
+                                              instant now)
+{
+    compute_part_keys(job);
+    const backend_load& load = loads_[on.record.id];
+    const double prefill = prefill_ms(job, cached_tokens(load, job, false, now));
+    return expected_wait_ms(on) + calibration() * load.slowdown * prefill;
+}
+
+load_balancer::backend_view load_balancer::view(const std::string& backend) const
+{
+    const auto found = loads_.find(backend);
+    if (found == loads_.end()) {
+        return {};
+    }
+    const backend_load& load = found->second;
+    return {load.requests + load.remote.requests, load.prefill_ms + load.remote.prefill_ms,
+            load.slowdown, load.tokens + load.remote.tokens};
+}
+
+void load_balancer::report_change(const std::string& backend, const backend_load& load)
+{
+    changed_(backend, {load.requests, load.prefill_ms, 0, load.speed.own(), load.tokens});
 }
 
 void load_balancer::on_first_event(ticket& it, instant now)
@@ -246,14 +347,17 @@
     it.has_first_event = true;
     it.first_event_at = now;
     backend_load& load = loads_[it.backend];
+    const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
+    if (it.expected_first_ms > 0) {
+        calibrate(it.expected_first_ms / calibration(), took);
+    }
     load.prefill_ms = std::max(0.0, load.prefill_ms - it.prefill_ms);
-    changed_(it.backend, {load.requests, load.prefill_ms, 0});
+    report_change(it.backend, load);
     load.consecutive_unreachable = 0;
     load.probation_until = {};
     load.consecutive_rejections = 0;
     load.saturated_until = {};
     if (!it.streaming) {
-        const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
         const double weight = 1 - (1 - sample_weight) * load.service_weight;
         load.service_ms =
             load.service_ms == 0 ? took : load.service_ms + weight * (took - load.service_ms);
@@ -266,6 +370,15 @@
     if (path_quality_.is_stall(gap, events)) {
         it.delayed = true;
         path_quality_.saw(it.failure_domain, true, now);
+        return;
+    }
+    // A bounded number for each stream, so that one long stream during a slow period of its engine
+    // does not fill the samples.
+    constexpr std::uint32_t max_speed_samples = 6;
+    if (events > 0 && it.speed_samples < max_speed_samples) {
+        ++it.speed_samples;
+        loads_[it.backend].speed.record(static_cast<double>(gap.count()) /
+                                        (micros_per_milli * static_cast<double>(events)));
     }
 }
 
@@ -273,10 +386,11 @@
 {
     backend_load& load = loads_[it.backend];
     load.requests = std::max(0.0, load.requests - 1);
+    load.tokens = std::max(0.0, load.tokens - it.tokens);
     if (!it.has_first_event) {
         load.prefill_ms = std::max(0.0, load.prefill_ms - it.prefill_ms);
     }
-    changed_(it.backend, {load.requests, load.prefill_ms, 0});
+    report_change(it.backend, load);
     if (it.streaming && it.has_first_event) {
         const double occupied_ms =
             static_cast<double>((now - it.first_event_at).count()) / micros_per_milli;
@@ -332,7 +446,9 @@
 
 void load_balancer::set_remote_load(const std::string& backend, const remote_load& remote)
 {
-    loads_[backend].remote = settings_.use_remote_load ? remote : remote_load{};
+    backend_load& load = loads_[backend];
+    load.remote = settings_.use_remote_load ? remote : remote_load{};
+    load.speed.set_remote(load.remote.speed);
 }
 
 double load_balancer::remote_connections(const std::string& backend) const
@@ -346,6 +462,7 @@
 void load_balancer::forget(const std::string& backend)
 {
     loads_.erase(backend);
+    changed_(backend, {});
 }
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/load_table.cpp
+++ b/modules/gateway/src/load_table.cpp
@@ -9,7 +9,7 @@
 
 bool is_zero(const remote_load& it)
 {
-    return it.requests <= 0 && it.prefill_ms <= 0 && it.connections <= 0;
+    return it.requests <= 0 && it.prefill_ms <= 0 && it.connections <= 0 && it.speed.weight <= 0;
 }
 
 } // namespace
@@ -21,17 +21,27 @@
         it.total.requests += part.requests;
         it.total.prefill_ms += part.prefill_ms;
         it.total.connections += part.connections;
+        it.total.speed += part.speed;
+        it.total.tokens += part.tokens;
     }
-    const bool exceeds_threshold =
-        std::abs(it.total.prefill_ms - it.reported.prefill_ms) >= settings_.min_prefill_change_ms ||
-        std::abs(it.total.requests - it.reported.requests) >= settings_.min_requests_change ||
-        std::abs(it.total.connections - it.reported.connections) >=
-            settings_.min_connections_change;
-    if (exceeds_threshold && !std::exchange(it.is_changed, true)) {
+    if (must_be_reported(it) && !std::exchange(it.is_changed, true)) {
         changed_.push_back(backend);
     }
 }
 
+bool load_table::must_be_reported(const row& it) const
+{
+    const auto differ = [](double a, double b, double by) { return std::abs(a - b) >= by; };
+    const double speed = it.reported.speed.mean_ms();
+    // Tokens change together with prefill or requests.
+    return differ(it.total.prefill_ms, it.reported.prefill_ms, settings_.min_prefill_change_ms) ||
+           differ(it.total.requests, it.reported.requests, settings_.min_requests_change) ||
+           differ(it.total.connections, it.reported.connections,
+                  settings_.min_connections_change) ||
+           (it.total.speed.weight > 0 &&
+            differ(it.total.speed.mean_ms(), speed, settings_.min_speed_change * speed));
+}
+
 bool load_table::set(const std::string& source, const std::string& backend, const remote_load& load)
 {
     row& it = rows_[backend];
@@ -74,6 +84,8 @@
         if (name != source) {
             out.requests += part.requests;
             out.prefill_ms += part.prefill_ms;
+            out.speed += part.speed;
+            out.tokens += part.tokens;
         }
     }
     return out;
--- a/modules/gateway/tests/load_table_test.cpp
+++ b/modules/gateway/tests/load_table_test.cpp
@@ -24,6 +24,17 @@
     BOOST_TEST(it.set("a", "engine", {3, 26}));
 }
 
+// Guards against reporting speeds with each stream, which would send most rows to all hosts.
+BOOST_AUTO_TEST_CASE(engine_speed_is_reported_when_it_changes_by_a_seventh)
+{
+    load_table it{{}};
+    BOOST_TEST(it.set("a", "engine", {0, 0, 0, {10, 200}}));
+    it.take_changed();
+    BOOST_TEST(!it.set("b", "engine", {0, 0, 0, {10, 220}}));
+    BOOST_TEST(it.set("b", "engine", {0, 0, 0, {10, 280}}));
+    BOOST_TEST(it.without("a", "engine").speed.mean_ms() == 28);
+}
+
 BOOST_AUTO_TEST_CASE(load_of_other_processes_excludes_the_own_load)
 {
     load_table it{{}};
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -416,6 +416,9 @@
     double requests = 0;
     double prefill_ms = 0; ///< prefill time of the requests that have no first event yet
     double connections = 0;
+    double speed_weight = 0;      ///< number of observed event intervals
+    double speed_interval_ms = 0; ///< their estimated interval, multiplied by their number
+    double tokens = 0;            ///< KV cache that the requests need
 };
 
 /// Load on backend servers. An attached host reports the load of its own requests and receives the
--- a/src/gateway/load_feed.cpp
+++ b/src/gateway/load_feed.cpp
@@ -31,6 +31,8 @@
     auto& it = own_[backend];
     it.requests = own.requests;
     it.prefill_ms = own.prefill_ms;
+    it.speed = own.speed;
+    it.tokens = own.tokens;
     set_own(backend);
 }
 
@@ -53,7 +55,7 @@
 void load_feed::set_own(const std::string& backend)
 {
     const gateway::remote_load own = own_.at(backend);
-    if (own.requests <= 0 && own.connections <= 0) {
+    if (own.requests <= 0 && own.connections <= 0 && own.speed.weight <= 0) {
         own_.erase(backend);
     }
     const bool changed_for_core = local_load_.set(mesh_.self(), backend, own);
@@ -73,7 +75,11 @@
     last_reports_[from] = env_.now();
     load_map loads;
     for (const auto& it : report.loads) {
-        loads[it.id] = {it.requests, it.prefill_ms, it.connections};
+        loads[it.id] = {it.requests,
+                        it.prefill_ms,
+                        it.connections,
+                        {it.speed_weight, it.speed_interval_ms},
+                        it.tokens};
     }
     if (report.whole) {
         apply_full_report(from, loads);
@@ -211,7 +217,8 @@
     for (const auto& backend : backends) {
         // The receiver knows the load that it reported itself better than this host.
         const auto load = sums.without(to, backend);
-        out.loads.push_back({backend, load.requests, load.prefill_ms, load.connections});
+        out.loads.push_back({backend, load.requests, load.prefill_ms, load.connections,
+                             load.speed.weight, load.speed.interval_ms, load.tokens});
     }
     return out;
 }
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -2,6 +2,8 @@
 
 #include "hickorypost/telemetry/event_line.h"
 
+#include <cmath>
+
 namespace hickorypost {
 
 namespace {
@@ -101,6 +103,12 @@
         env_.metrics.observe("first_answer_seconds",
                              static_cast<double>(record.to_first.count()) / micros_per_second);
     }
+    if (record.expected_first_ms > 0 && record.attempt_first_ms > 0) {
+        constexpr double millis_per_second = 1000;
+        env_.metrics.observe("first_event_error_seconds",
+                             (record.attempt_first_ms - record.expected_first_ms) /
+                                 millis_per_second);
+    }
     if (!may_write(failure)) {
         return;
     }
@@ -123,6 +131,10 @@
         .add("first_ms", to_millis(record.to_first))
         .add("gap_ms", to_millis(record.longest_gap))
         .add("total_ms", to_millis(record.total));
+    if (record.expected_first_ms > 0) {
+        line.add("expected_first_ms", std::llround(record.expected_first_ms))
+            .add("attempt_first_ms", std::llround(record.attempt_first_ms));
+    }
     if (record.limited > 0) {
         line.add("limited", record.limited);
     }
