[gateway] Escalation to a larger model counts the queue of the engine

After an outage of all hosts 774 requests began within 0.3 s; the second runs of the low confident answers filled the engines for over a second, and first events took 1.1 s in the median. Whether a larger model meets the target was estimated from recent runs, whatever the queue was, and late requests were always escalated.

The estimate now is the expected first event on the engine that would run the model, and late requests are escalated only while that engine's queue is shorter than the target.

--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -93,15 +93,19 @@
         last_confidence_ = *answer.confidence;
     }
     std::vector<double> prefill_ms;
-    prefill_ms.reserve(route_.models.size());
+    std::vector<double> first_event_ms;
+    const auto candidates = selectable_backends();
     for (const auto& model : route_.models) {
-        prefill_ms.push_back(services_.balancer.prefill_ms(job_for_model(model), 0));
+        const job_size job = job_for_model(model);
+        prefill_ms.push_back(services_.balancer.prefill_ms(job, 0));
+        first_event_ms.push_back(expected_first_event_ms(candidates, job));
     }
     const std::uint32_t attempts_left =
         route_.max_attempts - std::min(sent_attempts_, route_.max_attempts);
     const auto spent = std::chrono::duration_cast<millis>(services_.now() - started_at_);
-    const auto rank = services_.models.after(
-        {route_, model_rank_, *answer.confidence, spent, time_left(), attempts_left, prefill_ms});
+    const auto rank =
+        services_.models.after({route_, model_rank_, *answer.confidence, spent, time_left(),
+                                attempts_left, prefill_ms, first_event_ms});
     if (rank == model_rank_ || !has_room_elsewhere({}) || !try_take_retry()) {
         return false;
     }
@@ -112,6 +116,14 @@
     return true;
 }
 
+double exchange::expected_first_event_ms(std::span<const backend_entry* const> candidates,
+                                         const job_size& job)
+{
+    const instant now = services_.now();
+    const auto* const on = services_.balancer.choose(candidates, job, tried_backends_, now);
+    return on == nullptr ? 0 : services_.balancer.expected_first_event_ms(*on, job, now);
+}
+
 void exchange::start_relay(http1::response_head& head)
 {
     if (stage_ == stage::relaying) {
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -78,10 +78,23 @@
 
 bool model_choice::meets_target(const model_answer& answer, std::size_t rank) const
 {
-    const auto& route = answer.route;
-    const auto remaining = static_cast<double>((route.target_latency - answer.elapsed).count());
-    return !settings_.check_target || remaining <= 0 ||
-           remaining >= times_.first_ms(route.models[rank], answer.prefill_ms[rank]);
+    const millis target = answer.route.target_latency;
+    const millis left = target - answer.elapsed;
+    if (!settings_.check_target) {
+        return true;
+    }
+    if (left > millis{0}) {
+        return first_event_ms(answer, rank) <= static_cast<double>(left.count());
+    }
+    return answer.first_event_ms.empty() || answer.first_event_ms[rank] - answer.prefill_ms[rank] <=
+                                                static_cast<double>(target.count());
+}
+
+double model_choice::first_event_ms(const model_answer& answer, std::size_t rank) const
+{
+    return answer.first_event_ms.empty()
+               ? times_.first_ms(answer.route.models[rank], answer.prefill_ms[rank])
+               : answer.first_event_ms[rank];
 }
 
 double model_choice::expected_confidence(const std::string& smaller, double confidence,
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -191,4 +191,36 @@
     BOOST_TEST(escalated < requests / 50);
 }
 
+// Guards against escalating to a model whose engines have a long queue: the answer in hand is in
+// time, the larger model's first event would miss the target, and its prefill delays others.
+BOOST_AUTO_TEST_CASE(queue_of_the_engine_counts_against_the_target)
+{
+    const model_choice it{{}};
+    const route_spec route = route_of_three();
+    const std::vector<double> prefill{10, 40, 100};
+    const std::vector<double> idle{20, 60, 150};
+    const std::vector<double> queued{900, 950, 1100};
+    const auto choose = [&](const std::vector<double>& first_event_ms, double confidence) {
+        return it.after({route, small, confidence, millis{50}, plenty, 2, prefill, first_event_ms});
+    };
+    BOOST_TEST(choose(idle, 0.3) == large);
+    BOOST_TEST(choose(queued, 0.3) != large);
+}
+
+// Guards against second runs of requests that are late already, while the engines have a queue:
+// after an outage of all hosts they made most new requests late too.
+BOOST_AUTO_TEST_CASE(late_request_is_escalated_only_while_the_queue_is_short)
+{
+    const model_choice it{{}};
+    const route_spec route = route_of_three();
+    const std::vector<double> prefill{10, 40, 100};
+    const std::vector<double> idle{20, 60, 150};
+    const std::vector<double> queued{1020, 1050, 1200};
+    const auto choose = [&](const std::vector<double>& first_event_ms) {
+        return it.after({route, small, 0.3, millis{1500}, plenty, 2, prefill, first_event_ms});
+    };
+    BOOST_TEST(choose(idle) == large);
+    BOOST_TEST(choose(queued) == small);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
