[gateway] Load reports take fewer bytes

Load reports grow with hosts times backend servers and are most of the bytes between failure domains at 300 hosts. The fields added for engine speed and memory would have added 27 bytes to a row of about 55.

--- a/modules/gateway/include/hickorypost/gateway/load_table.h
+++ b/modules/gateway/include/hickorypost/gateway/load_table.h
@@ -14,6 +14,10 @@
     /// prompt takes 5 to 20 ms; that of the long prompts that delay others takes 50 ms to 3 s.
     double min_prefill_change_ms = 15;
     double min_requests_change = 3;
+    /// Number of loaded backend servers up to which these two apply; both grow in proportion beyond
+    /// it. The more backend servers there are, the less the exact load of each matters to find a
+    /// lightly loaded one, while the rows to report grow with backend servers times hosts.
+    std::size_t precise_backends = 60;
     double min_connections_change = 3;
     /// Smallest relative change of an engine's event interval that is reported.
     double min_speed_change = 0.15;
--- a/modules/gateway/src/load_table.cpp
+++ b/modules/gateway/src/load_table.cpp
@@ -1,5 +1,6 @@
 #include "hickorypost/gateway/load_table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -34,8 +35,11 @@
     const auto differ = [](double a, double b, double by) { return std::abs(a - b) >= by; };
     const double speed = it.reported.speed.mean_ms();
     // Tokens change together with prefill or requests.
-    return differ(it.total.prefill_ms, it.reported.prefill_ms, settings_.min_prefill_change_ms) ||
-           differ(it.total.requests, it.reported.requests, settings_.min_requests_change) ||
+    const double scale = std::max(1.0, static_cast<double>(rows_.size()) /
+                                           static_cast<double>(settings_.precise_backends));
+    return differ(it.total.prefill_ms, it.reported.prefill_ms,
+                  scale * settings_.min_prefill_change_ms) ||
+           differ(it.total.requests, it.reported.requests, scale * settings_.min_requests_change) ||
            differ(it.total.connections, it.reported.connections,
                   settings_.min_connections_change) ||
            (it.total.speed.weight > 0 &&
--- a/modules/gateway/tests/load_table_test.cpp
+++ b/modules/gateway/tests/load_table_test.cpp
@@ -35,6 +35,19 @@
     BOOST_TEST(it.without("a", "engine").speed.mean_ms() == 28);
 }
 
+// Guards against reports whose bytes grow with the number of hosts times that of backend servers.
+BOOST_AUTO_TEST_CASE(small_changes_are_not_reported_among_hundreds_of_backend_servers)
+{
+    load_table it{{}};
+    for (int n = 0; n < 600; ++n) {
+        it.set("a", "e" + std::to_string(n), {1, 200});
+    }
+    it.take_changed();
+    BOOST_TEST(!it.set("a", "e0", {2, 330}));
+    BOOST_TEST(it.set("a", "e0", {2, 360}));
+    BOOST_TEST(it.set("a", "e1", {31, 200}));
+}
+
 BOOST_AUTO_TEST_CASE(load_of_other_processes_excludes_the_own_load)
 {
     load_table it{{}};
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -416,9 +416,10 @@
     double requests = 0;
     double prefill_ms = 0; ///< prefill time of the requests that have no first event yet
     double connections = 0;
-    double speed_weight = 0;      ///< number of observed event intervals
-    double speed_interval_ms = 0; ///< their estimated interval, multiplied by their number
-    double tokens = 0;            ///< KV cache that the requests need
+    // Whole numbers, as they take 1 to 5 bytes instead of 9.
+    std::uint32_t speed_weight = 0;      ///< number of observed event intervals
+    std::uint32_t speed_interval_ms = 0; ///< their estimated interval, multiplied by their number
+    std::uint32_t tokens = 0;            ///< KV cache that the requests need
 };
 
 /// Load on backend servers. An attached host reports the load of its own requests and receives the
--- a/src/gateway/load_feed.cpp
+++ b/src/gateway/load_feed.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_feed.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hickorypost {
@@ -17,6 +18,11 @@
 /// a half periods of full reports.
 constexpr millis report_timeout{2500};
 
+std::uint32_t rounded(double value)
+{
+    return static_cast<std::uint32_t>(std::lround(std::max(0.0, value)));
+}
+
 } // namespace
 
 load_feed::load_feed(runtime& env, peer_mesh& mesh, gateway::load_balancer& balancer, bool has_disk,
@@ -75,11 +81,12 @@
     last_reports_[from] = env_.now();
     load_map loads;
     for (const auto& it : report.loads) {
-        loads[it.id] = {it.requests,
-                        it.prefill_ms,
-                        it.connections,
-                        {it.speed_weight, it.speed_interval_ms},
-                        it.tokens};
+        loads[it.id] = {
+            it.requests,
+            it.prefill_ms,
+            it.connections,
+            {static_cast<double>(it.speed_weight), static_cast<double>(it.speed_interval_ms)},
+            static_cast<double>(it.tokens)};
     }
     if (report.whole) {
         apply_full_report(from, loads);
@@ -218,7 +225,8 @@
         // The receiver knows the load that it reported itself better than this host.
         const auto load = sums.without(to, backend);
         out.loads.push_back({backend, load.requests, load.prefill_ms, load.connections,
-                             load.speed.weight, load.speed.interval_ms, load.tokens});
+                             rounded(load.speed.weight), rounded(load.speed.interval_ms),
+                             rounded(load.tokens)});
     }
     return out;
 }
