[gateway] Slow callers and statuses that claim no run

While reading was paused for a slow caller, the silence of the stream was taken for that of its engine, which was probed and left (3 attempts instead of 1). A plain answer of more than 256 KiB that took longer than the silence limit was asked for again after its first part had been delivered, and the caller got that part followed by the second answer as one complete answer. A backend server's own 408, 429 or 503 without Not-Executed was passed on for requests that must not run twice, so that the caller would send them again.

Change: Silence and probes do not count while reading is paused, nor once a plain answer is being delivered. Callers get 502 instead of such a status for non-idempotent requests and streams that can't be resumed; other requests as before.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -243,11 +243,16 @@
     void end_attempt(attempt_result how);
     void retry(std::string_view why);
     void handle_not_executed(const backend_answer& answer);
+    /// False for statuses that callers take for "not run" if the request must not run twice: the
+    /// backend server that answers it has not said that it did not run it.
+    [[nodiscard]] bool may_pass_on(unsigned status) const;
     void handle_failure_answer(http1::response_head& head);
     void start_relay(http1::response_head& head);
     /// Sends the request to a larger model if the answer's confidence is too low.
     bool try_escalate(const backend_answer& answer);
     void relay_events(std::string_view bytes);
+    /// Pauses reading while the caller has not read `max_unsent_bytes`.
+    void pause_if_unread();
     /// Resumes the stream if the caller has got a part of it, else retries.
     void resume_or_retry(std::string_view why);
     /// Records how long the model of a complete stream took.
@@ -316,6 +321,7 @@
     std::uint32_t unsent_attempts_ = 0;       ///< attempts that reached no backend server
     bool attempt_counted_ = false;            ///< `sent_attempts_` includes the current attempt
     bool may_have_run_ = false;
+    bool reading_paused_ = false; ///< of the current attempt, as the caller has much unread
     std::size_t model_rank_ = 0;
     std::string last_scored_model_; ///< model of the last answer with a confidence
     double last_confidence_ = 0;
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -275,6 +275,7 @@
     attempt_first_event_at_ = {};
     attempt_covers_whole_stream_ = !order.last_event_id;
     attempt_counted_ = false;
+    reading_paused_ = false;
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::awaiting_head;
     events_.restart();
     permit_wait_end_ = {};
@@ -359,7 +360,7 @@
         finish(exchange_outcome::broken_off, head_.status, why);
         return;
     }
-    if (failure_head_) {
+    if (failure_head_ && may_pass_on(failure_head_->status)) {
         head_ = *failure_head_;
         buffered_body_ = std::move(failure_body_);
         deliver_buffered();
@@ -435,8 +436,12 @@
 
 void exchange::caller_drained()
 {
-    if (current_attempt_) {
-        current_attempt_->set_reading(true);
+    if (!current_attempt_ || !std::exchange(reading_paused_, false)) {
+        return;
+    }
+    current_attempt_->set_reading(true);
+    if (route_.kind == request_kind::streaming) {
+        restart_silence_timer();
     }
 }
 
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -44,7 +44,7 @@
         resume_or_retry("backend server failed");
         return true;
     }
-    if (answer.status >= first_server_error) {
+    if (answer.status >= first_server_error || !may_pass_on(answer.status)) {
         handle_failure_answer(head);
         return true;
     }
@@ -70,6 +70,16 @@
     resume_or_retry("request not executed by the backend server");
 }
 
+bool exchange::may_pass_on(unsigned status) const
+{
+    constexpr unsigned request_timeout = 408;
+    constexpr unsigned too_many_requests = 429;
+    constexpr unsigned unavailable = 503;
+    const bool claims_not_run =
+        status == request_timeout || status == too_many_requests || status == unavailable;
+    return is_retryable() || !claims_not_run;
+}
+
 void exchange::handle_failure_answer(http1::response_head& head)
 {
     head_ = std::move(head);
@@ -146,14 +156,23 @@
         buffered_body_.append(bytes);
         if (buffered_body_.size() > services_.settings.max_buffered_bytes) {
             stage_ = stage::relaying;
+            cancel_silence_timers(); // a part of a plain answer can't be continued by another one
             head_.fields.remove_hop_by_hop();
             head_.fields.remove("Content-Length");
             caller_.begin(head_);
             caller_.piece(std::exchange(buffered_body_, {}));
         }
     }
+    pause_if_unread();
+}
+
+void exchange::pause_if_unread()
+{
     if (current_attempt_ && caller_.unsent() > services_.settings.max_unsent_bytes) {
         current_attempt_->set_reading(false);
+        reading_paused_ = true;
+        // Until reading continues, the silence is not the backend server's.
+        cancel_silence_timers();
     }
 }
 
@@ -194,10 +213,8 @@
     record_event_interval(events_.events() - before);
     services_.balancer.on_first_event(*ticket_, now);
     caller_.piece(whole);
-    if (current_attempt_ && caller_.unsent() > services_.settings.max_unsent_bytes) {
-        current_attempt_->set_reading(false);
-    }
     restart_silence_timer();
+    pause_if_unread();
 }
 
 void exchange::on_complete()
--- a/modules/gateway/tests/fakes.h
+++ b/modules/gateway/tests/fakes.h
@@ -47,6 +47,7 @@
         std::string head;
         gateway::attempt_events* events = nullptr;
         bool cancelled = false;
+        bool reading = true;
     };
 
     std::unique_ptr<gateway::attempt> start(const gateway::attempt_target& target, std::string head,
@@ -54,7 +55,7 @@
                                             gateway::attempt_events& events) override
     {
         auto it = std::make_shared<open_attempt>();
-        *it = {target, std::move(head), &events, false};
+        *it = {target, std::move(head), &events};
         attempts.push_back(it);
         return std::make_unique<handle>(it);
     }
@@ -69,7 +70,7 @@
         ~handle() override { it_->cancelled = true; }
         handle(const handle&) = delete;
         handle& operator=(const handle&) = delete;
-        void set_reading(bool) override {}
+        void set_reading(bool on) override { it_->reading = on; }
 
     private:
         std::shared_ptr<open_attempt> it_;
@@ -109,11 +110,12 @@
     void piece(std::string_view bytes) override { body.append(bytes); }
     void end() override { ended = true; }
     void break_off() override { broken = true; }
-    [[nodiscard]] std::size_t unsent() const override { return 0; }
+    [[nodiscard]] std::size_t unsent() const override { return unsent_bytes; }
     [[nodiscard]] bool is_closed() const override { return false; }
 
     unsigned status = 0;
     std::string body;
+    std::size_t unsent_bytes = 0; ///< as if the caller had not read them yet
     bool retry_after = false;
     bool ended = false;
     bool broken = false;
