[gateway] Escalation counts only a queue that is longer than usual

The usual first event of the model counts again, and the queue only where it is longer. The calibration of expected times leaves out first events expected within 100 ms, whose fixed delays made long ones look longer.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -247,9 +247,9 @@
     /// backend server that answers it has not said that it did not run it.
     [[nodiscard]] bool may_pass_on(unsigned status) const;
     void handle_failure_answer(http1::response_head& head);
-    /// Expected time until the first event on the best of `candidates`; 0 if there is none.
-    [[nodiscard]] double expected_first_event_ms(std::span<const backend_entry* const> candidates,
-                                                 const job_size& job);
+    /// Expected queue of the best of `candidates` in milliseconds; 0 if there is none.
+    [[nodiscard]] double expected_wait_ms(std::span<const backend_entry* const> candidates,
+                                          const job_size& job);
     void start_relay(http1::response_head& head);
     /// Sends the request to a larger model if the answer's confidence is too low.
     bool try_escalate(const backend_answer& answer);
--- a/modules/gateway/include/hickorypost/gateway/model_choice.h
+++ b/modules/gateway/include/hickorypost/gateway/model_choice.h
@@ -52,9 +52,9 @@
     std::uint32_t attempts_left = 2;
     /// Estimated prefill time in milliseconds with each of the route's models, by rank.
     std::span<const double> prefill_ms;
-    /// Expected time in milliseconds until the first event of each of the route's models, by rank,
-    /// on the engine that would run it; empty if unknown.
-    std::span<const double> first_event_ms;
+    /// Expected time in milliseconds until the engine that would run each of the route's models
+    /// begins its prefill, by rank; empty if unknown.
+    std::span<const double> queue_ms;
 };
 
 /// Chooses which of a route's models answers a request whose caller names no model: the request
@@ -98,7 +98,6 @@
     /// already: whether the engine's queue is shorter than the target, so that late requests do not
     /// take engine time from requests that can be in time.
     [[nodiscard]] bool meets_target(const model_answer& answer, std::size_t rank) const;
-    [[nodiscard]] double first_event_ms(const model_answer& answer, std::size_t rank) const;
     /// Rank of the middle model with the highest expected confidence that meets target
     /// and deadline; `answer.rank` if none is expected to improve on the answer.
     [[nodiscard]] std::size_t best_middle_on_target(const model_answer& answer) const;
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -103,19 +103,18 @@
         last_confidence_ = *answer.confidence;
     }
     std::vector<double> prefill_ms;
-    std::vector<double> first_event_ms;
+    std::vector<double> queue_ms;
     const auto candidates = selectable_backends();
     for (const auto& model : route_.models) {
         const job_size job = job_for_model(model);
         prefill_ms.push_back(services_.balancer.prefill_ms(job, 0));
-        first_event_ms.push_back(expected_first_event_ms(candidates, job));
+        queue_ms.push_back(expected_wait_ms(candidates, job));
     }
     const std::uint32_t attempts_left =
         route_.max_attempts - std::min(sent_attempts_, route_.max_attempts);
     const auto spent = std::chrono::duration_cast<millis>(services_.now() - started_at_);
-    const auto rank =
-        services_.models.after({route_, model_rank_, *answer.confidence, spent, time_left(),
-                                attempts_left, prefill_ms, first_event_ms});
+    const auto rank = services_.models.after({route_, model_rank_, *answer.confidence, spent,
+                                              time_left(), attempts_left, prefill_ms, queue_ms});
     if (rank == model_rank_ || !has_room_elsewhere({}) || !try_take_retry()) {
         return false;
     }
@@ -126,12 +125,12 @@
     return true;
 }
 
-double exchange::expected_first_event_ms(std::span<const backend_entry* const> candidates,
-                                         const job_size& job)
+double exchange::expected_wait_ms(std::span<const backend_entry* const> candidates,
+                                  const job_size& job)
 {
-    const instant now = services_.now();
-    const auto* const on = services_.balancer.choose(candidates, job, tried_backends_, now);
-    return on == nullptr ? 0 : services_.balancer.expected_first_event_ms(*on, job, now);
+    auto& balancer = services_.balancer;
+    const auto* const on = balancer.choose(candidates, job, tried_backends_, services_.now());
+    return on == nullptr ? 0 : balancer.expected_wait_ms(*on);
 }
 
 void exchange::start_relay(http1::response_head& head)
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -348,8 +348,10 @@
     it.first_event_at = now;
     backend_load& load = loads_[it.backend];
     const double took = static_cast<double>((now - it.started).count()) / micros_per_milli;
-    if (it.expected_first_ms > 0) {
-        calibrate(it.expected_first_ms / calibration(), took);
+    // Below this time, delays that do not depend on the prefill would distort the ratio.
+    constexpr double min_expected_ms = 100;
+    if (const double expected = it.expected_first_ms / calibration(); expected >= min_expected_ms) {
+        calibrate(expected, took);
     }
     load.prefill_ms = std::max(0.0, load.prefill_ms - it.prefill_ms);
     report_change(it.backend, load);
--- a/modules/gateway/src/model_choice.cpp
+++ b/modules/gateway/src/model_choice.cpp
@@ -78,23 +78,18 @@
 
 bool model_choice::meets_target(const model_answer& answer, std::size_t rank) const
 {
-    const millis target = answer.route.target_latency;
-    const millis left = target - answer.elapsed;
     if (!settings_.check_target) {
         return true;
     }
-    if (left > millis{0}) {
-        return first_event_ms(answer, rank) <= static_cast<double>(left.count());
+    const auto& route = answer.route;
+    const millis left = route.target_latency - answer.elapsed;
+    const double queue = answer.queue_ms.empty() ? 0 : answer.queue_ms[rank];
+    if (left <= millis{0}) {
+        return queue <= static_cast<double>(route.target_latency.count());
     }
-    return answer.first_event_ms.empty() || answer.first_event_ms[rank] - answer.prefill_ms[rank] <=
-                                                static_cast<double>(target.count());
-}
-
-double model_choice::first_event_ms(const model_answer& answer, std::size_t rank) const
-{
-    return answer.first_event_ms.empty()
-               ? times_.first_ms(answer.route.models[rank], answer.prefill_ms[rank])
-               : answer.first_event_ms[rank];
+    // Recent first events include the usual queue. Only a longer one adds to them.
+    const double first = times_.first_ms(route.models[rank], answer.prefill_ms[rank]);
+    return std::max(first, queue) <= static_cast<double>(left.count());
 }
 
 double model_choice::expected_confidence(const std::string& smaller, double confidence,
--- a/modules/gateway/tests/model_choice_test.cpp
+++ b/modules/gateway/tests/model_choice_test.cpp
@@ -198,13 +198,13 @@
     const model_choice it{{}};
     const route_spec route = route_of_three();
     const std::vector<double> prefill{10, 40, 100};
-    const std::vector<double> idle{20, 60, 150};
-    const std::vector<double> queued{900, 950, 1100};
-    const auto choose = [&](const std::vector<double>& first_event_ms, double confidence) {
-        return it.after({route, small, confidence, millis{50}, plenty, 2, prefill, first_event_ms});
+    const auto choose = [&](double queue) {
+        const std::vector<double> queue_ms{queue, queue, queue};
+        return it.after({route, small, 0.3, millis{50}, plenty, 2, prefill, queue_ms});
     };
-    BOOST_TEST(choose(idle, 0.3) == large);
-    BOOST_TEST(choose(queued, 0.3) != large);
+    BOOST_TEST(choose(0) == large);
+    BOOST_TEST(choose(900) == large);
+    BOOST_TEST(choose(1000) == small);
 }
 
 // Guards against second runs of requests that are late already, while the engines have a queue:
@@ -214,13 +214,12 @@
     const model_choice it{{}};
     const route_spec route = route_of_three();
     const std::vector<double> prefill{10, 40, 100};
-    const std::vector<double> idle{20, 60, 150};
-    const std::vector<double> queued{1020, 1050, 1200};
-    const auto choose = [&](const std::vector<double>& first_event_ms) {
-        return it.after({route, small, 0.3, millis{1500}, plenty, 2, prefill, first_event_ms});
+    const auto choose = [&](double queue) {
+        const std::vector<double> queue_ms{queue, queue, queue};
+        return it.after({route, small, 0.3, millis{1500}, plenty, 2, prefill, queue_ms});
     };
-    BOOST_TEST(choose(idle) == large);
-    BOOST_TEST(choose(queued) == small);
+    BOOST_TEST(choose(1000) == large);
+    BOOST_TEST(choose(1010) == small);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
