[gateway] Large answers to slow callers do not hang

Cause: Two faults of pausing. The exchange paused reading for bytes that only waited for the end of the main loop's turn; if the socket then took all of them at once, no notice of drained bytes followed and the answer stood still until its deadline: 290,705 of 67,108,864 bytes in a process test. And a connection to a backend server whose reading was paused when an answer ended was reused without reading, so that the next request on it got no answer.

Change: More than 64 KiB of an answer are written at once, so that what counts as unread has been refused by the socket. A connection is read again when a request begins on it.

--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -70,6 +70,8 @@
         received_bytes_ = false;
         parser_.begin(bodyless);
         if (stream_) {
+            // The answer before may have ended while reading was paused for its caller.
+            stream_->set_reading(true);
             stream_->write(head);
             stream_->write(body);
         }
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -15,6 +15,9 @@
 /// A connection on which sent bytes or keepalive probes stay unacknowledged for this long is
 /// closed.
 constexpr millis unacknowledged_timeout{10'000};
+/// Bytes of an answer that may wait for the end of the turn. What is unsent beyond them has been
+/// refused by the socket, so that `drained` follows; the exchange pauses reading until then.
+constexpr std::size_t max_deferred_bytes = std::size_t{64} << 10U;
 /// Time that a caller has to close its side after the last answer.
 constexpr millis linger_timeout{2'000};
 
@@ -204,6 +207,9 @@
     std::string out;
     http1::append_chunk(out, bytes);
     stream_->write(out);
+    if (stream_->unsent() > max_deferred_bytes) {
+        stream_->write_now();
+    }
 }
 
 void caller_connection::end()
--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -13,14 +13,16 @@
 /// A pool with one request to a listening socket on the loopback address.
 struct pool_fixture final : gateway::attempt_events {
     bool on_head(http1::response_head&) override { return true; }
-    void on_body(std::string_view) override {}
-    void on_complete() override {}
+    void on_body(std::string_view) override { request->set_reading(!pauses_reading); }
+    void on_complete() override { ++completed; }
     void on_fault(gateway::attempt_fault how) override { fault = how; }
 
     net::poller poller;
     fake_scheduler timers;
     loopback_listener server;
     bool may_send = true;
+    bool pauses_reading = false;
+    std::size_t completed = 0;
     std::optional<gateway::attempt_fault> fault;
     backend_pool pool{poller,
                       timers,
@@ -29,9 +31,13 @@
                       {},
                       [this](const std::string&) { return may_send; },
                       {}};
-    std::unique_ptr<gateway::attempt> request =
-        pool.start({"i-1", "127.0.0.1:" + std::to_string(server.address().port), "app", 0},
-                   "GET / HTTP/1.1\r\n\r\n", {}, false, *this);
+    std::unique_ptr<gateway::attempt> request = start_request();
+
+    std::unique_ptr<gateway::attempt> start_request()
+    {
+        return pool.start({"i-1", "127.0.0.1:" + std::to_string(server.address().port), "app", 0},
+                          "GET / HTTP/1.1\r\n\r\n", {}, false, *this);
+    }
 };
 
 } // namespace
@@ -59,4 +65,25 @@
     BOOST_TEST(it.server.receive() == "GET / HTTP/1.1\r\n\r\n");
 }
 
+// Guards against a request that never gets its answer because reading was paused, for a slow
+// caller, when the previous answer on the same connection ended.
+BOOST_AUTO_TEST_CASE(connection_whose_reading_was_paused_is_read_for_the_next_request)
+{
+    constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    pool_fixture it;
+    run_main_loop();
+    const int peer = it.server.accept();
+    it.pauses_reading = true;
+    for (std::size_t n = 1; n <= 2; ++n) {
+        BOOST_REQUIRE(::send(peer, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
+        run_main_loop();
+        BOOST_TEST(it.completed == n);
+        it.request.reset();
+        it.request = it.start_request();
+        run_main_loop();
+    }
+    BOOST_TEST(it.server.accept() == -1);
+    ::close(peer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/loopback_listener.h
+++ b/tests/gateway/loopback_listener.h
@@ -58,6 +58,8 @@
         out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
         return out;
     }
+    /// Accepts a connection without closing it; -1 if none is pending.
+    [[nodiscard]] int accept() const { return ::accept(fd_, nullptr, nullptr); }
     [[nodiscard]] net::endpoint address() const { return {htonl(INADDR_LOOPBACK), port_}; }
 
 private:
