[cli] hickorypost load shows engines, queues, rejections and accounts

Operators had no view of what a host's decisions under load are based on.

The control port answers GET /hickorypost/load. hickorypost load asks each host named and prints its engines with load, slowdown and KV cache, waiting requests, rejections and accounts.

hickorypost history needs no change for request_queued, request_dequeued, request_rejected_overload and the expected and measured first event; a test covers them.

--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -87,6 +87,8 @@
         return list_suspects(request);
     case platform::call_kind::clear_suspect:
         return clear_suspect(call.argument, request);
+    case platform::call_kind::get_load:
+        return respond_json(*request.answer, status_ok, platform::encode_load(load_.view()));
     case platform::call_kind::ready:
     case platform::call_kind::unknown:
         break;
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_feed.h"
 #include "gateway/caller_server.h"
 #include "gateway/control_plane.h"
+#include "gateway/load_report.h"
 
 #include <functional>
 #include <optional>
@@ -10,17 +11,18 @@
 
 namespace hickorypost {
 
-/// Handles the HTTP calls on the control port: configurations, roll-outs, evacuations and suspect
-/// requests from operators, heartbeats and leave notices from backend servers.
+/// Handles the HTTP calls on the control port: configurations, roll-outs, evacuations, suspect
+/// requests and load from operators, heartbeats and leave notices from backend servers.
 class control_calls {
 public:
     /// `is_known_service` returns whether the configuration in force contains the service; true if
     /// no configuration is in force yet.
     control_calls(runtime& env, control_plane& control, backend_feed& feed,
                   const gateway::backend_directory& directory, gateway::crash_ledger& crash_ledger,
+                  const load_report& load,
                   std::function<bool(const std::string& service)> is_known_service)
         : env_{env}, control_{control}, feed_{feed}, directory_{directory},
-          crash_ledger_{crash_ledger}, is_known_service_{std::move(is_known_service)}
+          crash_ledger_{crash_ledger}, load_{load}, is_known_service_{std::move(is_known_service)}
     {
     }
 
@@ -56,6 +58,7 @@
     backend_feed& feed_;
     const gateway::backend_directory& directory_;
     gateway::crash_ledger& crash_ledger_;
+    const load_report& load_;
     std::function<bool(const std::string& service)> is_known_service_;
     instant refusal_logged_; ///< time of the last log line about a refused record
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -235,8 +235,13 @@
                                                    balancer_, has_disk, std::move(feed_hooks));
     limit_feed_ = std::make_unique<limit_feed>(env_, *mesh_, limits_,
                                                [this] { return control_->permit_coordinator(); });
+    load_report_ = std::make_unique<load_report>(
+        env_.config.node.name, env_.now, directory_, balancer_, [this](const std::string& service) {
+            const auto* const spec = route_table_ ? route_table_->find_service(service) : nullptr;
+            return spec != nullptr && spec->engine.has_value();
+        });
     control_calls_ = std::make_unique<control_calls>(
-        env_, *control_, *backend_feed_, directory_, crash_ledger_,
+        env_, *control_, *backend_feed_, directory_, crash_ledger_, *load_report_,
         [this](const std::string& service) {
             return !route_table_ || route_table_->find_service(service) != nullptr;
         });
@@ -578,6 +583,7 @@
     metrics.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
     metrics.set("failure_domains_evacuated",
                 static_cast<double>(control_->state().evacuated_domains.size()));
+    load_report_->set_gauges(metrics);
     metrics.set("site_revision", static_cast<double>(control_->state().revision));
     if (const auto* group = control_->group(); group != nullptr) {
         metrics.set("control_log_term", static_cast<double>(group->core().term()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -6,6 +6,7 @@
 #include "gateway/control_calls.h"
 #include "gateway/control_plane.h"
 #include "gateway/limit_feed.h"
+#include "gateway/load_report.h"
 #include "gateway/request_journal.h"
 #include "hickorypost/gateway/exchange.h"
 #include "hickorypost/gateway/overload_detector.h"
@@ -102,6 +103,7 @@
     std::unique_ptr<control_plane> control_;
     std::unique_ptr<backend_feed> backend_feed_;
     std::unique_ptr<limit_feed> limit_feed_;
+    std::unique_ptr<load_report> load_report_;
     std::unique_ptr<control_calls> control_calls_;
     gateway::route_table_ptr route_table_;
     std::unique_ptr<caller_server> callers_server_;
--- a/src/verbs.cpp
+++ b/src/verbs.cpp
@@ -301,6 +301,15 @@
         "  disagree. Lines on the request's backend servers are shown from N ms (3000) before it.\n"
         "  Example: hickorypost history --request 9c41d07be2a35f68 /var/log/gateway-*.log\n",
         run_history},
+    verb{"load", "show engines, waiting requests, rejections and accounts as each host sees them",
+         "hickorypost load --control URL[,URL...]\n"
+         "  Asks each of the hosts, by control address or HICKORYPOST_CONTROL. Requests, prefill "
+         "and\n"
+         "  KV cache of an engine are those of all hosts; waiting and rejected requests those of "
+         "the\n"
+         "  host that is asked.\n"
+         "  Example: hickorypost load --control http://10.0.0.4:8080,http://10.0.0.5:8080\n",
+         run_load},
     verb{"suspects",
          "list requests and prompt parts that may crash backend servers, and clear them",
          "hickorypost suspects --control URL[,URL...] [--clear IDENTITY]\n"
--- a/src/verbs.h
+++ b/src/verbs.h
@@ -38,6 +38,7 @@
 exit_code run_settings(std::span<char*> args);
 exit_code run_mechanisms(std::span<char*> args);
 exit_code run_history(std::span<char*> args);
+exit_code run_load(std::span<char*> args);
 exit_code run_suspects(std::span<char*> args);
 exit_code run_evacuations(std::span<char*> args);
 exit_code run_hash_key(std::span<char*> args);
--- a/tests/cli/log_history_test.cpp
+++ b/tests/cli/log_history_test.cpp
@@ -154,4 +154,32 @@
     BOOST_TEST(found.lines[2].event == "request_ended");
 }
 
+// Guards against a late, delayed or rejected request whose history does not show its wait in the
+// queue, the reason of the rejection or the expected and the actual first event.
+BOOST_AUTO_TEST_CASE(history_shows_waits_rejections_and_expected_first_events)
+{
+    const std::string log =
+        line("a", "10.000",
+             R"("event":"request_queued","request":"q","reason":"engines busy","service":"llm")") +
+        line("a", "10.000", R"("event":"request_queued","request":"other","service":"llm")") +
+        line("a", "10.450", R"("event":"request_dequeued","request":"q","waited_ms":450)") +
+        line("a", "11.000",
+             R"("event":"request_ended","request":"q","backend":"i-1",)"
+             R"("expected_first_ms":120,"attempt_first_ms":310)") +
+        line("b", "20.000",
+             R"("event":"request_rejected_overload","request":"r","reason":"over share")");
+    const auto waited = read_history({log}, {.request = "q"});
+    BOOST_REQUIRE(waited.lines.size() == 3U);
+    BOOST_TEST(waited.lines[0].event == "request_queued");
+    BOOST_TEST(waited.lines[0].text.find("reason=engines busy") != std::string::npos);
+    BOOST_TEST(waited.lines[1].event == "request_dequeued");
+    BOOST_TEST(waited.lines[1].text.find("waited_ms=450") != std::string::npos);
+    BOOST_TEST(waited.lines[2].text.find("expected_first_ms=120") != std::string::npos);
+    BOOST_TEST(waited.lines[2].text.find("attempt_first_ms=310") != std::string::npos);
+    const auto rejected = read_history({log}, {.request = "r"});
+    BOOST_REQUIRE(rejected.lines.size() == 1U);
+    BOOST_TEST(rejected.lines[0].event == "request_rejected_overload");
+    BOOST_TEST(rejected.lines[0].text.find("reason=over share") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
