--- a/tests/cli/load_test.cpp
+++ b/tests/cli/load_test.cpp
@@ -13,6 +13,7 @@
 exit_code run_with(std::array<std::string, N> args)
 {
     std::vector<char*> pointers;
+    pointers.reserve(N);
     for (auto& it : args) {
         pointers.push_back(it.data());
     }
