[wire] Message account_usage

Cause: hosts need to report the usage of accounts. A host of an earlier release ignores messages of unknown types but logs a warning for each of them. Change: new message type account_usage; core_status says in an appended field whether the sender handles it, so that no host of an earlier release gets it. Result: tests that an unknown type leaves a link up, and that the status of an earlier release reads as not handling account_usage.

--- a/modules/net/tests/link_test.cpp
+++ b/modules/net/tests/link_test.cpp
@@ -82,6 +82,11 @@
     }
 };
 
+struct message_of_a_later_release {
+    static constexpr auto type = static_cast<wire::message_type>(60'000);
+    std::vector<std::string> rows;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(links)
@@ -97,6 +102,19 @@
     BOOST_TEST(it.last == "small");
 }
 
+// Guards against a host that drops its links to hosts of a later release, which send it messages of
+// types that it does not know.
+BOOST_AUTO_TEST_CASE(message_of_an_unknown_type_leaves_the_link_up)
+{
+    pair_of_links it{nullptr, nullptr};
+    BOOST_REQUIRE(turn_until([&] { return it.client->current() != nullptr; }));
+    it.client->current()->send(message_of_a_later_release{{"a", "b"}});
+    it.client->current()->send(wire::piece{1, 0, "after"});
+    BOOST_TEST(turn_until([&] { return it.echoed == 1; }));
+    BOOST_TEST(it.last == "after");
+    BOOST_TEST(it.downs == 0U);
+}
+
 // Guards against a host that ends at its memory limit because each of its links keeps the memory of
 // its largest burst.
 BOOST_AUTO_TEST_CASE(links_free_their_buffers_after_a_burst)
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -54,6 +54,7 @@
     backend_limit = 72,
     permit_requests = 73,
     permit_replies = 74,
+    account_usage = 75,
 };
 
 inline constexpr std::uint32_t protocol_oldest = 1;
@@ -361,6 +362,8 @@
     /// Whether the sender's replica applies evacuations. Releases before them skip such entries of
     /// the control log.
     bool applies_evacuations = false;
+    /// Whether the sender handles `account_usage`. Releases before it log a warning for each one.
+    bool takes_account_usage = false;
 };
 
 /// A host without a disk subscribes to updates from the receiver (`on`) or unsubscribes.
@@ -429,6 +432,20 @@
     bool whole = false; ///< true: the complete load; false: only the changed entries
 };
 
+struct account_rate {
+    std::string account;
+    double ms_per_s = 0; ///< admitted prefill per second, in milliseconds on a reference engine
+    double recent_ms_per_s = 0; ///< the same over a shorter time
+};
+
+/// Work that accounts use, on the same paths as load: an attached host reports its own and receives
+/// the sum over all other hosts.
+struct account_usage {
+    static constexpr auto type = message_type::account_usage;
+    std::vector<account_rate> rows;
+    bool whole = false; ///< true: the complete usage; false: only the changed rows
+};
+
 /// Results of one version of a service, as observed by one host since its last report.
 struct version_row {
     std::string service;
--- a/modules/wire/tests/codec_test.cpp
+++ b/modules/wire/tests/codec_test.cpp
@@ -64,4 +64,39 @@
     BOOST_TEST(restored->note == "default");
 }
 
+// Guards against a host of an earlier release that cannot read the status of a later one, and
+// against reports of usage to a host that has not said that it handles them.
+BOOST_AUTO_TEST_CASE(core_status_of_an_earlier_release_takes_no_account_usage)
+{
+    struct earlier_core_status {
+        std::vector<wire::host_info> core;
+        std::string leader;
+        std::uint64_t term = 0;
+        std::uint64_t revision = 0;
+        std::uint32_t hosts = 0;
+        bool applies_evacuations = false;
+    };
+    const auto read = wire::try_decode<wire::core_status>(
+        wire::encode(earlier_core_status{{}, "l", 3, 4, 5, true}));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->applies_evacuations);
+    BOOST_TEST(!read->takes_account_usage);
+    wire::core_status later;
+    later.hosts = 7;
+    later.takes_account_usage = true;
+    BOOST_TEST(wire::try_decode<earlier_core_status>(wire::encode(later))->hosts == 7U);
+}
+
+// Guards against rows that are much larger than the names of the accounts.
+BOOST_AUTO_TEST_CASE(row_of_account_usage_takes_twenty_bytes_and_the_name)
+{
+    const std::string name = "account-number";
+    wire::account_usage report;
+    const std::size_t empty = wire::encode(report).size();
+    for (int n = 0; n < 64; ++n) {
+        report.rows.push_back({name, 1234.5 + n, 1234.5});
+    }
+    BOOST_TEST(wire::encode(report).size() <= empty + 2 + 64 * (name.size() + 20));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
