[settings] Weights of accounts

Cause: accounts may be entitled to different shares of scarce capacity. Result: `hickorypost check` accepts valid lists and names the faulty entry of invalid ones.

--- a/modules/gateway/include/hickorypost/gateway/decision_settings.h
+++ b/modules/gateway/include/hickorypost/gateway/decision_settings.h
@@ -4,6 +4,7 @@
 #include "hickorypost/gateway/load_balancer.h"
 #include "hickorypost/gateway/model_choice.h"
 #include "hickorypost/gateway/rollout_judge.h"
+#include "hickorypost/scheduling/account_shares.h"
 
 #include <span>
 #include <string_view>
@@ -16,6 +17,7 @@
     model_choice_settings models;
     exchange_settings exchange;
     judge_settings judge;
+    scheduling::share_settings shares;
     /// Longest time for which requests wait after the start of the process until it has the current
     /// state, which takes up to a second. They wait because most callers retry only once after a
     /// refusal.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -174,6 +174,29 @@
         return out;
     }
 
+    std::map<std::string, double> weights(const char* section, const char* key)
+    {
+        const setting_row& row = row_of(section, key);
+        std::map<std::string, double> out;
+        for (const auto& it : split(text(section, key), ',')) {
+            const auto colon = it.rfind(':');
+            const std::string name = it.substr(0, colon);
+            const std::string value = colon == std::string::npos ? "" : it.substr(colon + 1);
+            char* end = nullptr;
+            const double weight = std::strtod(value.c_str(), &end);
+            // The comparison also excludes NaN.
+            const bool in_range = weight >= row.low && weight <= row.high;
+            if (name.empty() || name.back() == ' ' || value.empty() || *end != '\0' || !in_range ||
+                !out.emplace(name, weight).second) {
+                std::ostringstream expected;
+                expected << "NAME:WEIGHT, separated by commas, each name once, with weights from "
+                         << row.low << " to " << row.high << ", not \"" << it << "\"";
+                fault(section, key, expected.str());
+            }
+        }
+        return out;
+    }
+
     void fault(std::string section, std::string key, std::string expected)
     {
         const bool known = std::any_of(faults_.begin(), faults_.end(), [&](const auto& it) {
@@ -338,6 +361,7 @@
     out.retry_slack = in.number("gateway", "retry_slack");
     out.session = seconds("session_s");
     out.log_requests_per_second = in.number("gateway", "log_requests_per_second");
+    out.account_weights = in.weights("gateway", "account_weights");
     for (const auto& name : split(in.text("gateway", "switched_off"), ',')) {
         if (const auto* const it = gateway::find_mechanism(name)) {
             it->switch_off(out.decisions);
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,6 +6,7 @@
 #include "hickorypost/gateway/decision_settings.h"
 #include "hickorypost/net/connector.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,7 +35,8 @@
     choice,
     address,
     address_list,
-    name_list
+    name_list,
+    weight_list
 };
 
 /// A row of the settings table; docs/SETTINGS.md is printed from it.
@@ -129,6 +131,8 @@
     double retry_slack = 0;
     millis session{10'000};
     double log_requests_per_second = 20;
+    /// Shares of accounts while capacity is short; 1 for accounts that are not named.
+    std::map<std::string, double> account_weights;
     gateway::decision_settings decisions;
 };
 
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -261,6 +261,16 @@
          {},
          0,
          1000000},
+        {"gateway",
+         "account_weights",
+         weight_list,
+         "",
+         false,
+         "Shares of client accounts while engines are short of capacity, as NAME:WEIGHT separated "
+         "by commas; an account that is not named has weight 1. SIGHUP reloads it.",
+         {},
+         0.01,
+         100},
         {"gateway", "switched_off", name_list, "", false,
          "Mechanisms of the gateway's decisions that are switched off, to measure what they are "
          "worth: `hickorypost mechanisms` lists them."},
