[gateway] Account usage is recorded and shared between hosts

Cause: the shares of accounts need the admitted work of this host and of all others. Change: each attempt that is sent to an engine counts its expected prefill as work of its account. usage_feed sends and receives account_usage on the links that load reports use. SIGHUP reloads the weights; with an invalid file the weights in force stay.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -145,6 +145,10 @@
     /// Logs and counts a decision about a request, with the reason for it.
     std::function<void(const exchange_record&, std::string_view decision, std::string_view why)>
         note;
+    /// Counts the prefill of an attempt that is sent to an engine, in milliseconds on a reference
+    /// engine, as work of the account.
+    std::function<void(const std::string& account, double work_ms)> work_admitted =
+        [](const std::string&, double) {};
 };
 
 /// Handles one request until its answer is complete: chooses backend servers, sends attempts,
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -285,6 +285,9 @@
     services_.backoffs.sent(to.record.id);
     ticket_ = services_.balancer.started(to, job, now);
     record_.expected_first_ms = ticket_->expected_first_ms;
+    if (service_ != nullptr && service_->engine) {
+        services_.work_admitted(record_.account, ticket_->prefill_ms);
+    }
     record_.attempt_first_ms = 0;
     target_ = {to.record.id, to.record.address, record_.service,
                service_ == nullptr ? 0 : service_->max_connections, to.record.name};
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -24,17 +24,20 @@
 
 backend_feed::backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
                            gateway::crash_ledger& crashes, gateway::backend_limits& limits,
-                           gateway::load_balancer& balancer, bool has_disk,
-                           backend_feed_hooks hooks)
+                           gateway::load_balancer& balancer, scheduling::account_shares& shares,
+                           bool has_disk, backend_feed_hooks hooks)
     : env_{env}, mesh_{mesh}, directory_{directory}, crashes_{crashes}, limits_{limits},
       has_disk_{has_disk}, hooks_{std::move(hooks)},
-      heartbeat_relay_{has_disk}, loads_{env, mesh, balancer, has_disk, attachments_}
+      heartbeat_relay_{has_disk}, loads_{env, mesh, balancer, has_disk, attachments_},
+      usage_{
+          env, mesh, shares, has_disk, attachments_, hooks_.takes_account_usage, hooks_.host_count}
 {
 }
 
 void backend_feed::start()
 {
     timer_ = net::timer::every(tick_period, [this] { tick(); });
+    usage_.start();
 }
 
 std::vector<node_id> backend_feed::broadcast_targets(const node_id& from) const
@@ -298,6 +301,7 @@
 {
     attachments_.downstream_hosts.erase(host);
     loads_.on_host_gone(host);
+    usage_.on_host_gone(host);
     std::erase(attachments_.upstream_hosts, host);
     update_attachments();
 }
@@ -309,6 +313,7 @@
         if (const auto decoded = wire::try_decode<wire::attach>(body)) {
             attachments_.downstream_hosts.erase(from);
             loads_.on_host_gone(from);
+            usage_.on_host_gone(from);
             if (decoded->on) {
                 loads_.require_full_report(from);
                 attachments_.downstream_hosts.insert(from);
@@ -354,6 +359,11 @@
             loads_.take_report(from, *decoded);
         }
         return true;
+    case wire::message_type::account_usage:
+        if (const auto decoded = wire::try_decode<wire::account_usage>(body)) {
+            usage_.take_report(from, *decoded);
+        }
+        return true;
     default:
         return false;
     }
--- a/src/gateway/backend_feed.h
+++ b/src/gateway/backend_feed.h
@@ -2,6 +2,7 @@
 
 #include "gateway/load_feed.h"
 #include "gateway/peer_mesh.h"
+#include "gateway/usage_feed.h"
 #include "hickorypost/gateway/backend_directory.h"
 #include "hickorypost/gateway/backend_limits.h"
 #include "hickorypost/gateway/crash_ledger.h"
@@ -24,6 +25,10 @@
     std::function<void(const std::string& backend)> backend_superseded;
     /// Whether a core host has last reported that it knows the control log's leader.
     std::function<bool(const node_id& host)> reaches_leader;
+    /// Whether a core host handles reports of accounts' usage.
+    std::function<bool(const node_id& host)> takes_account_usage;
+    /// The number of hosts, this one included.
+    std::function<std::size_t()> host_count;
     /// Pins sessions that another host has seen on an old version. Returns those that were not
     /// pinned here before.
     std::function<std::vector<std::uint64_t>(const std::vector<std::uint64_t>& sessions)>
@@ -42,7 +47,8 @@
 public:
     backend_feed(runtime& env, peer_mesh& mesh, gateway::backend_directory& directory,
                  gateway::crash_ledger& crashes, gateway::backend_limits& limits,
-                 gateway::load_balancer& balancer, bool has_disk, backend_feed_hooks hooks);
+                 gateway::load_balancer& balancer, scheduling::account_shares& shares,
+                 bool has_disk, backend_feed_hooks hooks);
 
     void start();
     load_feed& loads() noexcept { return loads_; }
@@ -100,6 +106,7 @@
     gateway::heartbeat_relay heartbeat_relay_;
     attachments attachments_;
     load_feed loads_;
+    usage_feed usage_;
     instant next_expiry_;
     std::uint64_t tick_count_ = 0;
     wire::crash_facts unsent_crash_facts_; ///< of this main loop iteration
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -201,6 +201,12 @@
     return it != notes_.end() && !it->second.leader.empty();
 }
 
+bool control_plane::takes_account_usage(const node_id& host) const
+{
+    const auto it = notes_.find(host);
+    return it != notes_.end() && it->second.takes_account_usage;
+}
+
 std::size_t control_plane::host_count() const noexcept
 {
     return std::max(reported_hosts_, mesh_.linked().size() + 1);
@@ -337,6 +343,7 @@
     out.revision = state_.revision;
     out.hosts = static_cast<std::uint32_t>(mesh_.linked().size() + 1);
     out.applies_evacuations = true;
+    out.takes_account_usage = true;
     return out;
 }
 
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -69,6 +69,8 @@
     [[nodiscard]] bool replicas_support_evacuations() const;
     /// Whether the last note of a core host named a leader.
     [[nodiscard]] bool reaches_leader(const node_id& host) const;
+    /// Whether a core host handles reports of accounts' usage.
+    [[nodiscard]] bool takes_account_usage(const node_id& host) const;
     /// The local replica; null on a host without a disk or while the disk is not usable.
     [[nodiscard]] const replog::group* group() const noexcept { return group_.get(); }
     /// The host that grants permits, which is the leader: empty if unknown, or if this host leads
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -71,7 +71,8 @@
                         backend_feed_->loads().own_changed(backend, own);
                     }
                 }},
-      rollouts_{env.random, config_.session + max_request_duration},
+      shares_{config_.decisions.shares}, rollouts_{env.random,
+                                                   config_.session + max_request_duration},
       model_choice_{config_.decisions.models},
       pool_{poller_,
             timers_,
@@ -168,8 +169,12 @@
                 [this](const std::string& backend, const gateway::backend_answer& answer,
                        std::string_view request) { on_backend_answer(backend, answer, request); },
                 [this](const gateway::exchange_record& record, std::string_view decision,
-                       std::string_view reason) { journal_.decision(record, decision, reason); }}
+                       std::string_view reason) { journal_.decision(record, decision, reason); },
+                [this](const std::string& account, double work_ms) {
+                    shares_.record(account, work_ms, env_.now());
+                }}
 {
+    shares_.set_weights(config_.account_weights);
 }
 
 gateway_role::~gateway_role() = default;
@@ -224,6 +229,10 @@
     feed_hooks.reaches_leader = [this](const node_id& host) {
         return control_->reaches_leader(host);
     };
+    feed_hooks.takes_account_usage = [this](const node_id& host) {
+        return control_->takes_account_usage(host);
+    };
+    feed_hooks.host_count = [this] { return control_->host_count(); };
     feed_hooks.pin_sessions = [this](const std::vector<std::uint64_t>& sessions) {
         return rollouts_.pin(sessions, env_.now());
     };
@@ -231,8 +240,9 @@
     feed_hooks.limit_changed = [this](const gateway::limit_change& change) {
         journal_.limit_changed(change);
     };
-    backend_feed_ = std::make_unique<backend_feed>(env_, *mesh_, directory_, crash_ledger_, limits_,
-                                                   balancer_, has_disk, std::move(feed_hooks));
+    backend_feed_ =
+        std::make_unique<backend_feed>(env_, *mesh_, directory_, crash_ledger_, limits_, balancer_,
+                                       shares_, has_disk, std::move(feed_hooks));
     limit_feed_ = std::make_unique<limit_feed>(env_, *mesh_, limits_,
                                                [this] { return control_->permit_coordinator(); });
     control_calls_ = std::make_unique<control_calls>(
@@ -503,7 +513,9 @@
 {
     if (config.gateway) {
         mesh_->dial_seeds(config.gateway->seeds);
-        env_.log->info("settings reloaded: {} seeds", config.gateway->seeds.size());
+        shares_.set_weights(config.gateway->account_weights);
+        env_.log->info("settings reloaded: {} seeds, {} account weights",
+                       config.gateway->seeds.size(), config.gateway->account_weights.size());
     }
 }
 
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -87,6 +87,7 @@
     timers_port timers_;
     gateway::backend_directory directory_;
     gateway::load_balancer balancer_;
+    scheduling::account_shares shares_;
     gateway::rollout_view rollouts_;
     gateway::model_choice model_choice_;
     std::map<std::string, gateway::retry_window> retry_windows_;
