--- a/modules/scheduling/tests/account_shares_test.cpp
+++ b/modules/scheduling/tests/account_shares_test.cpp
@@ -137,4 +137,60 @@
     BOOST_TEST(over_share(it, 1000).empty());
 }
 
+// Guards against shares that work only for usage that exceeds the capacity: with a queue in front
+// of the engines, the admitted work of all accounts is the capacity, and that of a surging account
+// replaces that of the others. Unused capacity must still go to the surging account.
+BOOST_AUTO_TEST_CASE(usual_accounts_do_not_wait_behind_a_surging_one)
+{
+    constexpr millis step{50};
+    constexpr double capacity = 12'000;
+    constexpr double step_capacity = 600;
+    constexpr double usual = 50; // in each step
+    const names accounts{"surging", "b", "c", "d", "e", "f", "g", "h", "i", "j"};
+    for (const double estimate : {capacity, 3 * capacity}) {
+        account_shares it{{}};
+        it.set_remote_state(remote_usage::missing, 1);
+        std::map<std::string, double> waiting;
+        double served_of_surging = 0;
+        instant now = start;
+        for (; now < start + millis{10'000}; now += step) {
+            // Work that has waited for two seconds is given up.
+            const double demand = now < start + millis{2000} ? usual : 7 * usual;
+            waiting["surging"] = std::min(waiting["surging"] + demand, 2 * capacity);
+            for (auto account = accounts.begin() + 1; account != accounts.end(); ++account) {
+                waiting[*account] += usual;
+            }
+            double room = step_capacity;
+            for (const bool over : {false, true}) {
+                names turn;
+                double sum = 0;
+                for (const auto& account : accounts) {
+                    if (it.is_over_share(account, estimate, now) == over) {
+                        turn.push_back(account);
+                        sum += waiting[account];
+                    }
+                }
+                // Requests that arrived in random order are served in that order.
+                const double part = sum <= room ? 1 : room / sum;
+                for (const auto& account : turn) {
+                    const double work = part * waiting[account];
+                    waiting[account] -= work;
+                    room -= work;
+                    it.record(account, work, now);
+                    if (account == "surging" && now >= start + millis{4000}) {
+                        served_of_surging += work;
+                    }
+                }
+            }
+            if (now >= start + millis{4000}) {
+                for (auto account = accounts.begin() + 1; account != accounts.end(); ++account) {
+                    BOOST_TEST(waiting[*account] < usual);
+                }
+            }
+        }
+        // What the nine others leave, for six seconds.
+        BOOST_TEST(served_of_surging == 6 * (capacity - 9000), boost::test_tools::tolerance(0.01));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
