[scheduling] Usage stays known after a short loss of the upstream link

Cause: a host that lost its upstream host for a moment and returned to it sent it a report that clears its usage there, which removed it until the next full report. Change: no clear report goes to the host that is the upstream host again. Result: covered by a test, which passes.

--- a/modules/scheduling/src/usage_table.cpp
+++ b/modules/scheduling/src/usage_table.cpp
@@ -218,7 +218,8 @@
 {
     expire(now);
     std::vector<message> out;
-    if (const std::string left = std::exchange(previous_upstream_, {}); !left.empty()) {
+    if (const std::string left = std::exchange(previous_upstream_, {});
+        !left.empty() && left != peers_.upstream) {
         out.push_back({left, {{}, true}}); // clears this host's usage there
     }
     const auto targets = receivers();
--- a/modules/scheduling/tests/usage_table_test.cpp
+++ b/modules/scheduling/tests/usage_table_test.cpp
@@ -193,6 +193,19 @@
     BOOST_TEST((ms_per_s(it.remote(at(30))) == rate_map{{"b", 5}}));
 }
 
+// Guards against a clear report to the upstream host itself after a short loss of the link to it.
+BOOST_AUTO_TEST_CASE(host_that_returns_to_its_upstream_host_keeps_its_usage_there)
+{
+    usage_table it = attached_host();
+    it.set_own(constant({{"a", 100}}));
+    it.take_due(at(0));
+    it.set_peers({});
+    it.set_peers({{}, {}, "up", {}});
+    for (const auto& message : it.take_due(at(1000))) {
+        BOOST_TEST((rates(message.report) == rate_map{{"a", 100}}));
+    }
+}
+
 // Guards against queueing reports for a host that reads slowly.
 BOOST_AUTO_TEST_CASE(congested_host_gets_a_full_report_afterwards)
 {
