[gateway] New requests wait or are rejected while all engines have a backlog

Cause: the gateway sent each request at once, however large the backlog of every engine was, so that an overload delayed all kinds of requests for seconds and requests that could not be answered any more were held until their deadline.

Change: a new request to a service with engines asks the admission coordinator before its first attempt. It waits while the expected wait on its best engine, and on all others, exceeds half of the smallest target of the service's routes. Further attempts and resumed streams do not wait. Rejections are 503 with Retry-After. Waiting requests are evaluated after changes of load, at most once in 5 ms, and every 20 ms. Setting [gateway] admission, mechanism admission, gauge requests_waiting, decisions queued, dequeued and rejected_overload; waited_ms in the log lines of decisions.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include "hickorypost/gateway/retry_window.h"
 #include "hickorypost/gateway/rollout_view.h"
 #include "hickorypost/gateway/route_table.h"
+#include "hickorypost/scheduling/admission_coordinator.h"
 
 #include <map>
 
@@ -62,6 +63,8 @@
     /// retry all at once.
     millis min_retry_after{150};
     millis retry_after_jitter{450};
+    /// New requests to services with engines wait at this host while all engines have a backlog.
+    bool admission = true;
     /// Retry-After, before the random part, while all backend servers of a service are evacuated.
     millis evacuated_retry_after{1000};
 };
@@ -101,6 +104,7 @@
     /// Attempts sent to a backend server while it had asked this host to back off.
     std::uint32_t sent_during_backoff = 0;
     std::optional<millis> retry_after; ///< as sent to the caller
+    micros waited{0};                  ///< for admission
     std::uint64_t config_version = 0;
     std::uint64_t events = 0;
     micros to_first{0};    ///< from the request's arrival to its first event or answer's head
@@ -129,6 +133,7 @@
     crash_ledger& suspects;
     backend_limits& limits;
     backend_backoff& backoffs;
+    scheduling::admission_coordinator& admission;
     scheduler& timers;
     clock_fn now;
     random_fn random;
@@ -153,7 +158,7 @@
 /// A request that is not idempotent is sent to a second backend server only if the first one
 /// answered that it did not execute the request, or if no byte of the request left this process.
 /// The status is 429 or 503 only if the request cannot have run; other failures are 502 or 504.
-class exchange final : private attempt_events {
+class exchange final : private attempt_events, private scheduling::admission_waiter {
 public:
     exchange(exchange_services& services, caller_port& caller, caller_request request,
              route_table_ptr table, const route_spec& route, const account_spec* account);
@@ -181,6 +186,8 @@
     void on_body(std::string_view bytes) override;
     void on_complete() override;
     void on_fault(attempt_fault fault) override;
+    void on_turn() override;
+    void on_hopeless(millis retry_after) override;
 
     /// Whether the request may run more than once.
     [[nodiscard]] bool is_retryable() const;
@@ -197,6 +204,11 @@
     /// Polls for the first backend server. False if the request has waited long enough.
     bool wait_for_backends();
     void send_to(const backend_entry& to, const job_size& job);
+    /// Whether the request may be sent to `to` now, the best of the candidates. If not, it waits
+    /// for its turn or has been rejected. Only new requests to services with engines wait.
+    bool try_admit(const backend_entry& to, std::span<const backend_entry* const> candidates,
+                   const job_size& job);
+    void reject_overload(millis retry_after, std::string_view why);
     [[nodiscard]] job_size current_job() const;
     [[nodiscard]] job_size job_for_model(const std::string& model) const;
     [[nodiscard]] std::string current_model() const;
@@ -316,6 +328,8 @@
     std::uint32_t unsent_attempts_ = 0;       ///< attempts that reached no backend server
     bool attempt_counted_ = false;            ///< `sent_attempts_` includes the current attempt
     bool may_have_run_ = false;
+    std::uint64_t admission_id_ = 0; ///< in `services_.admission`; 0: has not waited
+    instant queued_at_;
     std::size_t model_rank_ = 0;
     std::string last_scored_model_; ///< model of the last answer with a confidence
     double last_confidence_ = 0;
--- a/modules/gateway/include/hickorypost/gateway/load_balancer.h
+++ b/modules/gateway/include/hickorypost/gateway/load_balancer.h
@@ -173,6 +173,9 @@
     /// Expected milliseconds until the first event of a request that is sent to `on` now.
     [[nodiscard]] double expected_first_event_ms(const backend_entry& on, const job_size& job,
                                                  instant now);
+    /// Least expected wait of the candidates that are available and have memory for the request.
+    [[nodiscard]] double least_wait_ms(std::span<const backend_entry* const> candidates,
+                                       const job_size& job, instant now) const;
     /// Speed and load of one backend server, for operators.
     struct backend_view {
         double requests = 0;   ///< of all processes
@@ -186,6 +189,8 @@
     [[nodiscard]] bool is_saturated(const std::string& backend, instant now) const;
     /// Sets the load of all other gateway processes on a backend server.
     void set_remote_load(const std::string& backend, const remote_load& remote);
+    /// Called after each `set_remote_load`.
+    std::function<void()> on_remote_load = [] {};
     /// Connections that other processes have open to a backend server, one for each request at
     /// least.
     [[nodiscard]] double remote_connections(const std::string& backend) const;
@@ -239,6 +244,8 @@
     /// Expected service time of a plain request.
     [[nodiscard]] double expected_service_ms(const backend_load& load, const baseline& base,
                                              instant now) const;
+    /// Whether the engine's memory may run out if the request is sent there.
+    [[nodiscard]] bool lacks_memory(const backend_load& load, const job_size& job) const;
     /// The failure ratio, decayed by the time since the last request.
     [[nodiscard]] double decayed_failure_ratio(const backend_load& load, instant now) const;
     /// Expected number of prompt tokens that the engine has cached.
--- a/modules/gateway/include/hickorypost/gateway/route_table.h
+++ b/modules/gateway/include/hickorypost/gateway/route_table.h
@@ -21,6 +21,8 @@
     [[nodiscard]] const account_spec* find_account(std::string_view key) const;
     /// The service of this name, or null.
     [[nodiscard]] const service_spec* find_service(std::string_view name) const;
+    /// The smallest target latency of the routes to this service; 0 if none has one.
+    [[nodiscard]] millis smallest_target(std::string_view service) const;
     [[nodiscard]] const site_config& config() const noexcept { return config_; }
 
 private:
@@ -29,6 +31,7 @@
     std::unordered_map<std::string, std::vector<const route_spec*>> by_host_;
     std::unordered_map<std::string_view, const account_spec*> by_key_;
     std::unordered_map<std::string_view, const service_spec*> by_service_;
+    std::unordered_map<std::string_view, millis> smallest_targets_; ///< by service
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/modules/gateway/src/decision_settings.cpp
+++ b/modules/gateway/src/decision_settings.cpp
@@ -14,6 +14,8 @@
 constexpr double disabled_silence_factor = 1e6;
 
 constexpr std::array mechanism_table{
+    mechanism{"admission", "new requests wait at the host while all engines have a backlog",
+              [](all_settings& it) { it.exchange.admission = false; }},
     mechanism{"cold_start_hold", "requests wait while a starting process obtains the current state",
               [](all_settings& it) { it.start_hold = millis{0}; }},
     mechanism{"engine_speed", "the measured speeds of the engines count",
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -98,6 +98,7 @@
     services_.timers.cancel(deadline_timer_);
     services_.crashes.cancel(crash_check_id_);
     cancel_silence_timers();
+    services_.admission.leave(record_.service, admission_id_);
     if (ticket_) {
         services_.balancer.ended(*ticket_, attempt_result::dropped, services_.now());
     }
@@ -227,6 +228,9 @@
                                       : "all backend servers have been tried");
         return;
     }
+    if (!try_admit(*to, candidates, job)) {
+        return;
+    }
     is_trial_ = suspicion == crash_ledger::standing::trial;
     if (is_trial_) {
         for (const auto& it : culprits) {
@@ -446,6 +450,7 @@
     services_.timers.cancel(std::exchange(deadline_timer_, 0));
     services_.crashes.cancel(std::exchange(crash_check_id_, 0));
     cancel_silence_timers();
+    services_.admission.leave(record_.service, admission_id_);
     record_.outcome = outcome;
     record_.status = status;
     record_.reason = why;
--- a/modules/gateway/src/load_balancer.cpp
+++ b/modules/gateway/src/load_balancer.cpp
@@ -161,10 +161,7 @@
         out += prefill;
         out += running * (load.slowdown * settings_.per_stream_ms +
                           settings_.stream_delay_factor * disruptive);
-        const double tokens = load.tokens + remote.tokens + job.prompt_tokens + job.output_tokens;
-        if (job.engine_memory > 0 && tokens > settings_.memory_share * job.engine_memory) {
-            out += out_of_memory_cost_ms;
-        }
+        out += lacks_memory(load, job) ? out_of_memory_cost_ms : 0;
         if (settings_.count_slot_wait && running >= slots) {
             out += (running - slots + 1) * slot_ms_ / slots;
         }
@@ -181,6 +178,12 @@
     return out;
 }
 
+bool load_balancer::lacks_memory(const backend_load& load, const job_size& job) const
+{
+    const double tokens = load.tokens + load.remote.tokens + job.prompt_tokens + job.output_tokens;
+    return job.engine_memory > 0 && tokens > settings_.memory_share * job.engine_memory;
+}
+
 double load_balancer::expected_service_ms(const backend_load& load, const baseline& base,
                                           instant now) const
 {
@@ -323,6 +326,20 @@
     return expected_wait_ms(on) + calibration() * load.slowdown * prefill;
 }
 
+double load_balancer::least_wait_ms(std::span<const backend_entry* const> candidates,
+                                    const job_size& job, instant now) const
+{
+    double out = std::numeric_limits<double>::max();
+    for (const auto* const it : candidates) {
+        const auto found = loads_.find(it->record.id);
+        const bool is_usable = found == loads_.end() || (now >= found->second.probation_until &&
+                                                         now >= found->second.saturated_until &&
+                                                         !lacks_memory(found->second, job));
+        out = is_usable ? std::min(out, expected_wait_ms(*it)) : out;
+    }
+    return out;
+}
+
 load_balancer::backend_view load_balancer::view(const std::string& backend) const
 {
     const auto found = loads_.find(backend);
@@ -449,6 +466,7 @@
     backend_load& load = loads_[backend];
     load.remote = settings_.use_remote_load ? remote : remote_load{};
     load.speed.set_remote(load.remote.speed);
+    on_remote_load();
 }
 
 double load_balancer::remote_connections(const std::string& backend) const
--- a/modules/gateway/src/route_table.cpp
+++ b/modules/gateway/src/route_table.cpp
@@ -22,6 +22,11 @@
 {
     for (const auto& it : config_.routes) {
         by_host_[normalize_host(it.host)].push_back(&it);
+        for (const auto& service : it.services) {
+            auto& smallest =
+                smallest_targets_.try_emplace(service.service, it.target_latency).first->second;
+            smallest = std::min(smallest, it.target_latency);
+        }
     }
     for (auto& [host, routes] : by_host_) {
         std::sort(routes.begin(), routes.end(), [](const auto* a, const auto* b) {
@@ -63,4 +68,10 @@
     return it == by_service_.end() ? nullptr : it->second;
 }
 
+millis route_table::smallest_target(std::string_view service) const
+{
+    const auto it = smallest_targets_.find(service);
+    return it == smallest_targets_.end() ? millis{0} : it->second;
+}
+
 } // namespace hickorypost::gateway
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -136,9 +136,14 @@
                              seeded_random_fn(8),
                              [this](const backoff_request& it) { backoff_requests.push_back(it); }};
     backoff_statement backoff_in_answers; ///< that each answer states
+    scheduling::admission_coordinator admission{
+        [this] { return timers.now; }, seeded_random_fn(9),
+        [this](instant due, std::function<void()> hook) { timers.add(due, std::move(hook)); }};
     fake_caller caller;
     backend_directory directory{{}};
-    load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
+    load_balancer balancer{{}, "d", seeded_random_fn(5), [this](const auto&, const auto&) {
+                               admission.load_changed();
+                           }};
     rollout_view rollouts{seeded_random_fn(6), millis{10'000}};
     model_choice models{{}};
     std::map<std::string, retry_window> windows;
@@ -159,6 +164,7 @@
         suspects,
         limits,
         backoffs,
+        admission,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -70,6 +70,7 @@
                     if (backend_feed_) {
                         backend_feed_->loads().own_changed(backend, own);
                     }
+                    admission_.load_changed();
                 }},
       rollouts_{env.random, config_.session + max_request_duration},
       model_choice_{config_.decisions.models},
@@ -142,6 +143,10 @@
                 env.now,
                 env.random,
                 [this](const gateway::backoff_request& it) { journal_.backoff_requested(it); }},
+      admission_{env.now, env.random,
+                 [this](instant due, std::function<void()> callback) {
+                     timers_.add(due, std::move(callback));
+                 }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -154,6 +159,7 @@
                 crash_ledger_,
                 limits_,
                 backoffs_,
+                admission_,
                 timers_,
                 env.now,
                 env.random,
@@ -170,6 +176,7 @@
                 [this](const gateway::exchange_record& record, std::string_view decision,
                        std::string_view reason) { journal_.decision(record, decision, reason); }}
 {
+    balancer_.on_remote_load = [this] { admission_.load_changed(); };
 }
 
 gateway_role::~gateway_role() = default;
@@ -568,6 +575,9 @@
     metrics.set("backend_connections{state=\"busy\"}",
                 static_cast<double>(pool_.busy_connections()));
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
+    for (const auto& [service, waiting] : admission_.waiting()) {
+        metrics.set("requests_waiting{service=\"" + service + "\"}", static_cast<double>(waiting));
+    }
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
     metrics.set("overloaded", overload_.is_overloaded() ? 1 : 0);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -96,6 +96,7 @@
     gateway::crash_watch crash_watch_;
     gateway::backend_limits limits_;
     gateway::backend_backoff backoffs_;
+    scheduling::admission_coordinator admission_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -188,7 +188,8 @@
         .add("version", record.version)
         .add("model", record.model)
         .add("attempts", record.attempts)
-        .add("candidates", record.candidates);
+        .add("candidates", record.candidates)
+        .add("waited_ms", to_millis(record.waited));
     env_.log->info("{}", line.payload());
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -338,6 +338,7 @@
     out.retry_slack = in.number("gateway", "retry_slack");
     out.session = seconds("session_s");
     out.log_requests_per_second = in.number("gateway", "log_requests_per_second");
+    out.decisions.exchange.admission = in.text("gateway", "admission") == "on";
     for (const auto& name : split(in.text("gateway", "switched_off"), ',')) {
         if (const auto* const it = gateway::find_mechanism(name)) {
             it->switch_off(out.decisions);
