[gateway] Admission tests send requests with prompts

Cause: the requests of the tests had no prompt, so that the balancer placed them at random among engines with and without pending prefill, and request_waits_for_room_and_is_sent_when_load_reports_show_it failed as soon as the sequence of random numbers changed.

Change: the fixture's requests may have prompt tokens, those of the admission tests have 1,000.

--- a/modules/gateway/tests/exchange_admission_test.cpp
+++ b/modules/gateway/tests/exchange_admission_test.cpp
@@ -14,6 +14,7 @@
 struct engine_gateway : one_gateway {
     engine_gateway()
     {
+        asked_tokens = 1000;
         site_config config = table->config();
         config.routes.front().target_latency = millis{1000};
         config.services.front().engine = engine_spec{};
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -57,6 +57,7 @@
         request.session = session;
         request.arrived = timers.now;
         request.parts = asked_parts;
+        request.prompt_tokens = asked_tokens;
         current = std::make_unique<exchange>(services, caller, std::move(request), table,
                                              asked_route, nullptr);
         current->start();
@@ -151,6 +152,7 @@
     route_table_ptr table;
     route_spec asked_route;
     http1::framing framing_of_answers = http1::framing::sized;
+    double asked_tokens = 0;              ///< prompt tokens of each request
     std::vector<prompt_part> asked_parts; ///< of each request; the last one is its own
     exchange_services services{
         directory,
