[scheduling] A burst may use twice a host's allowance before requests wait

Cause: with the allowance alone, two long prompts within 25 ms made the next requests of the same host wait although no engine had a backlog. The coordinator gave the only waiting request two turns in each evaluation.

Change: pacing begins at twice the allowance; a request whose turn failed gets no second one.

--- a/modules/scheduling/include/hickorypost/scheduling/send_pacer.h
+++ b/modules/scheduling/include/hickorypost/scheduling/send_pacer.h
@@ -17,6 +17,9 @@
     /// Hosts without knowledge of each other place requests at random, and with a mean of a quarter
     /// of the bound few engines exceed it.
     double unknown_ratio = 0.25;
+    /// Multiple of that which a host may send before its requests wait. Clients send a few requests
+    /// close together without any outage, and these must not be delayed.
+    double burst_factor = 2;
 };
 
 /// Limits the work that one of several hosts sends at once. Performs no I/O.
--- a/modules/scheduling/src/admission_coordinator.cpp
+++ b/modules/scheduling/src/admission_coordinator.cpp
@@ -105,12 +105,13 @@
 
 void admission_coordinator::release(service_queue& it)
 {
-    int failed = 0;
-    while (failed < max_failed_turns) {
+    std::uint64_t last = 0;
+    for (int failed = 0; failed < max_failed_turns;) {
         const auto id = it.gate.next(now_());
-        if (!id) {
+        if (!id || *id == last) {
             return;
         }
+        last = *id;
         const auto waiter = it.waiters.extract(*id);
         it.gate.remove(*id, now_());
         --waiting_;
--- a/modules/scheduling/src/send_pacer.cpp
+++ b/modules/scheduling/src/send_pacer.cpp
@@ -28,8 +28,11 @@
 
 bool send_pacer::allows(const pool& at, bool others_wait, instant now) const
 {
-    const bool is_burst = others_wait || (burst_ > 1 && now - sent_at_ <= settings_.report_delay);
-    return at.hosts <= 1 || !is_burst || unreported_ms(at, now) < allowance_ms(at);
+    const bool is_burst = burst_ > 1 && now - sent_at_ <= settings_.report_delay;
+    const double sent_ms = unreported_ms(at, now);
+    return at.hosts <= 1 ||
+           (others_wait ? sent_ms < allowance_ms(at)
+                        : !is_burst || sent_ms < settings_.burst_factor * allowance_ms(at));
 }
 
 void send_pacer::sent(double work_ms, const pool& at, instant now)
