[gateway] Merge admission control

Joins admission control, account shares and the operators' view: accounts over their share wait behind others, hickorypost load shows waiting requests, rejections and accounts, and SIGHUP reloads admission.

--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -57,6 +57,7 @@
         request.session = session;
         request.arrived = timers.now;
         request.parts = asked_parts;
+        request.prompt_tokens = asked_tokens;
         current = std::make_unique<exchange>(services, caller, std::move(request), table,
                                              asked_route, nullptr);
         current->start();
@@ -136,9 +137,14 @@
                              seeded_random_fn(8),
                              [this](const backoff_request& it) { backoff_requests.push_back(it); }};
     backoff_statement backoff_in_answers; ///< that each answer states
+    scheduling::admission_coordinator admission{
+        [this] { return timers.now; }, seeded_random_fn(9),
+        [this](instant due, std::function<void()> hook) { timers.add(due, std::move(hook)); }};
     fake_caller caller;
     backend_directory directory{{}};
-    load_balancer balancer{{}, "d", seeded_random_fn(5), [](const auto&, const auto&) {}};
+    load_balancer balancer{{}, "d", seeded_random_fn(5), [this](const auto&, const auto&) {
+                               admission.load_changed();
+                           }};
     rollout_view rollouts{seeded_random_fn(6), millis{10'000}};
     model_choice models{{}};
     std::map<std::string, retry_window> windows;
@@ -146,6 +152,7 @@
     route_table_ptr table;
     route_spec asked_route;
     http1::framing framing_of_answers = http1::framing::sized;
+    double asked_tokens = 0;              ///< prompt tokens of each request
     std::vector<prompt_part> asked_parts; ///< of each request; the last one is its own
     exchange_services services{
         directory,
@@ -159,6 +166,7 @@
         suspects,
         limits,
         backoffs,
+        admission,
         timers,
         [this] { return timers.now; },
         seeded_random_fn(7),
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -70,6 +70,7 @@
                     if (backend_feed_) {
                         backend_feed_->loads().own_changed(backend, own);
                     }
+                    admission_.load_changed();
                 }},
       shares_{config_.decisions.shares}, rollouts_{env.random,
                                                    config_.session + max_request_duration},
@@ -143,6 +144,10 @@
                 env.now,
                 env.random,
                 [this](const gateway::backoff_request& it) { journal_.backoff_requested(it); }},
+      admission_{env.now, env.random,
+                 [this](instant due, std::function<void()> callback) {
+                     timers_.add(due, std::move(callback));
+                 }},
       journal_{env, config_.log_requests_per_second},
       services_{directory_,
                 balancer_,
@@ -155,6 +160,7 @@
                 crash_ledger_,
                 limits_,
                 backoffs_,
+                admission_,
                 timers_,
                 env.now,
                 env.random,
@@ -169,12 +175,21 @@
                 [this](const std::string& backend, const gateway::backend_answer& answer,
                        std::string_view request) { on_backend_answer(backend, answer, request); },
                 [this](const gateway::exchange_record& record, std::string_view decision,
-                       std::string_view reason) { journal_.decision(record, decision, reason); },
+                       std::string_view reason) {
+                    journal_.decision(record, decision, reason);
+                    if (decision == "rejected_overload") {
+                        ++overload_rejections_[std::string{reason}];
+                    }
+                },
                 [this](const std::string& account, double work_ms) {
                     shares_.record(account, work_ms, env_.now());
                 }}
 {
     shares_.set_weights(config_.account_weights);
+    balancer_.on_remote_load = [this] { admission_.load_changed(); };
+    admission_.is_over_share = [this](const std::string& account) {
+        return shares_.is_over_share(account, engine_capacity_ms_per_s_, env_.now());
+    };
 }
 
 gateway_role::~gateway_role() = default;
@@ -250,6 +265,7 @@
             const auto* const spec = route_table_ ? route_table_->find_service(service) : nullptr;
             return spec != nullptr && spec->engine.has_value();
         });
+    load_report_->set_sources(sources_of_load());
     control_calls_ = std::make_unique<control_calls>(
         env_, *control_, *backend_feed_, directory_, crash_ledger_, *load_report_,
         [this](const std::string& service) {
@@ -502,6 +518,7 @@
         journal_.tick();
         limits_.expire();
         backoffs_.expire();
+        engine_capacity_ms_per_s_ = load_report_->engine_capacity_ms_per_s();
     }
     env_.log->flush();
 }
@@ -519,11 +536,41 @@
     if (config.gateway) {
         mesh_->dial_seeds(config.gateway->seeds);
         shares_.set_weights(config.gateway->account_weights);
-        env_.log->info("settings reloaded: {} seeds, {} account weights",
-                       config.gateway->seeds.size(), config.gateway->account_weights.size());
+        services_.settings.admission = config.gateway->decisions.exchange.admission;
+        env_.log->info("settings reloaded: {} seeds, {} account weights, admission {}",
+                       config.gateway->seeds.size(), config.gateway->account_weights.size(),
+                       services_.settings.admission ? "on" : "off");
     }
 }
 
+load_sources gateway_role::sources_of_load() const
+{
+    return {.waiting =
+                [this] {
+                    std::vector<gateway::load_view::waiting_row> out;
+                    for (const auto& [service, n] : admission_.waiting()) {
+                        out.push_back({service, "all", n});
+                    }
+                    return out;
+                },
+            .rejections =
+                [this] {
+                    std::vector<gateway::load_view::rejection_row> out;
+                    for (const auto& [reason, n] : overload_rejections_) {
+                        out.push_back({reason, n});
+                    }
+                    return out;
+                },
+            .accounts =
+                [this] {
+                    std::vector<gateway::load_view::account_row> out;
+                    for (const auto& it : shares_.rows(env_.now(), engine_capacity_ms_per_s_)) {
+                        out.push_back({it.account, it.ms_per_s, it.share_ms_per_s, it.over_share});
+                    }
+                    return out;
+                }};
+}
+
 void gateway_role::drain(std::function<void()> done)
 {
     draining_ = true;
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -11,6 +11,7 @@
 #include "hickorypost/gateway/exchange.h"
 #include "hickorypost/gateway/overload_detector.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -64,6 +65,8 @@
                                               unsigned status, std::string_view reason);
     void handle_ready(const incoming_request& request) const;
     void handle_metrics(const incoming_request& request);
+    /// Rows of admission control and account shares for operators.
+    [[nodiscard]] load_sources sources_of_load() const;
     void on_state_changed(const gateway::site_state& state);
     void apply_config(const gateway::site_state& state);
     void apply_evacuations(const gateway::site_state& state);
@@ -98,6 +101,7 @@
     gateway::crash_watch crash_watch_;
     gateway::backend_limits limits_;
     gateway::backend_backoff backoffs_;
+    scheduling::admission_coordinator admission_;
     request_journal journal_;
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
@@ -105,6 +109,9 @@
     std::unique_ptr<backend_feed> backend_feed_;
     std::unique_ptr<limit_feed> limit_feed_;
     std::unique_ptr<load_report> load_report_;
+    /// Work that the engines of all services finish in a second, in ms on a reference engine.
+    double engine_capacity_ms_per_s_ = std::numeric_limits<double>::infinity();
+    std::map<std::string, std::uint64_t> overload_rejections_; ///< since the start, by reason
     std::unique_ptr<control_calls> control_calls_;
     gateway::route_table_ptr route_table_;
     std::unique_ptr<caller_server> callers_server_;
--- a/src/gateway/load_report.cpp
+++ b/src/gateway/load_report.cpp
@@ -20,6 +20,16 @@
     return out;
 }
 
+double load_report::engine_capacity_ms_per_s() const
+{
+    constexpr double millis_per_second = 1000;
+    double out = 0;
+    for (const auto& it : engines()) {
+        out += millis_per_second / it.slowdown;
+    }
+    return out;
+}
+
 gateway::load_view load_report::view() const
 {
     gateway::load_view out;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -34,6 +34,8 @@
 
     void set_sources(load_sources sources) { sources_ = std::move(sources); }
     [[nodiscard]] gateway::load_view view() const;
+    /// Work that all engines finish in a second, in milliseconds on a reference engine.
+    [[nodiscard]] double engine_capacity_ms_per_s() const;
     /// Sets the gauges `engine_slowdown` and `requests_waiting`.
     void set_gauges(telemetry::metrics& metrics);
 
