[scheduling] The measured rate of a queue has half of the host's share as its lower bound

Cause: after a pause in which no engine had room, as while all of them prefill very long prompts, the measured rate was near 0 and all requests behind the first ones were rejected as hopeless.

Change: the lower bound is half of the host's share of the engines.

--- a/modules/scheduling/src/admission_gate.cpp
+++ b/modules/scheduling/src/admission_gate.cpp
@@ -16,8 +16,9 @@
 /// Time with a non-empty queue until the rate counts as measured. Before that the rate is assumed
 /// to be that of all engines, because a request must not be rejected by mistake.
 constexpr double min_busy_ms = 500;
-/// Lower bound of the rate, as a fraction of that of all engines.
-constexpr double min_rate_ratio = 0.01;
+/// Lower bound of the rate, as a fraction of the host's share of all engines. Without it a pause of
+/// a second in which nothing is sent would make all requests behind the first look hopeless.
+constexpr double min_rate_ratio = 0.5;
 /// Clients wait for at most a third of the time that they have left before they retry.
 constexpr int retry_divisor = 3;
 /// Fraction of `Retry-After` that is added at random, so that clients do not return all at once.
@@ -120,7 +121,7 @@
 {
     const double assumed = std::max(0.0, min_busy_ms - busy_ms_);
     const double measured = (sent_ms_ + assumed * at.engines) / (busy_ms_ + assumed);
-    return std::max(measured, min_rate_ratio * at.engines);
+    return std::max(measured, min_rate_ratio * at.engines / at.hosts);
 }
 
 bool admission_gate::is_hopeless(const entry& it, const room& at, double ahead_ms,
--- a/modules/scheduling/tests/admission_gate_test.cpp
+++ b/modules/scheduling/tests/admission_gate_test.cpp
@@ -211,6 +211,7 @@
 BOOST_AUTO_TEST_CASE(rate_of_the_queue_is_measured)
 {
     auto gate = make_gate();
+    constexpr room idle_for_many{0, 20, 10, 30};
     instant now = start;
     const instant end = start + millis{1'000'000};
     const auto of = [&](std::uint64_t n) {
@@ -225,15 +226,26 @@
     for (std::uint64_t n = 1; n < 9; ++n) {
         now += millis{400};
         gate.remove(n, now);
-        BOOST_CHECK(gate.decide(of(n), idle, now) == admission::send);
+        BOOST_CHECK(gate.decide(of(n), idle_for_many, now) == admission::send);
     }
     const double left_ms = 32 * 400;
     auto last = of(100);
-    const auto expected = gate.retry_after(last, idle, now);
+    const auto expected = gate.retry_after(last, idle_for_many, now);
     BOOST_TEST(static_cast<double>(expected.count()) > 0.7 * left_ms);
     BOOST_TEST(static_cast<double>(expected.count()) < 1.5 * left_ms);
 }
 
+// Guards against rejecting the whole queue after a pause in which no engine had room.
+BOOST_AUTO_TEST_CASE(pause_does_not_make_the_queue_hopeless)
+{
+    auto gate = make_gate();
+    for (std::uint64_t n = 1; n < 41; ++n) {
+        BOOST_CHECK(gate.decide(long_request(n), no_room, start) == admission::wait);
+    }
+    // 16,000 ms of work for ten engines.
+    BOOST_TEST(gate.take_hopeless(no_room, start + millis{5000}).empty());
+}
+
 // Guards against decisions that delay all requests of a host. The bound is ten times what the
 // decision may cost, as the machine that runs the tests may be busy.
 BOOST_AUTO_TEST_CASE(decision_is_cheap)
