--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -273,7 +273,8 @@
          100},
         {"gateway", "admission", choice, "on", false,
          "New requests to services with engines wait at the host, in an order of urgency, while "
-         "all engines have a backlog, and are rejected at once if they cannot be answered in time.",
+         "all engines have a backlog, and are rejected at once if they cannot be answered in time. "
+         "SIGHUP reloads it.",
          "on|off"},
         {"gateway", "switched_off", name_list, "", false,
          "Mechanisms of the gateway's decisions that are switched off, to measure what they are "
