[gateway] Second runs do not start while the engines have a backlog

Admission control holds new requests, whose first runs take 3 to 70 ms of an engine, while second runs with a larger model, which take ten times as long, still filled the engines. An answer in hand is now kept while the engine that would run the larger model has a backlog above the bound.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -213,6 +213,9 @@
     bool try_admit(const backend_entry& to, std::span<const backend_entry* const> candidates,
                    const job_size& job);
     void reject_overload(millis retry_after, std::string_view why);
+    /// Expected wait on an engine up to which requests are sent there; 0 if admission control does
+    /// not apply to the request's service.
+    [[nodiscard]] micros max_backlog() const;
     [[nodiscard]] job_size current_job() const;
     [[nodiscard]] job_size job_for_model(const std::string& model) const;
     [[nodiscard]] std::string current_model() const;
--- a/modules/gateway/src/exchange_admission.cpp
+++ b/modules/gateway/src/exchange_admission.cpp
@@ -16,14 +16,20 @@
 
 } // namespace
 
+micros exchange::max_backlog() const
+{
+    const bool applies =
+        services_.settings.admission && service_ != nullptr && service_->engine.has_value();
+    return applies ? table_->smallest_target(record_.service) / backlog_divisor : micros{0};
+}
+
 bool exchange::try_admit(const backend_entry& to, std::span<const backend_entry* const> candidates,
                          const job_size& job)
 {
-    const micros max_backlog = table_->smallest_target(record_.service) / backlog_divisor;
+    const micros bound = max_backlog();
     // Further attempts and resumed streams do not wait behind new requests.
     const bool is_new = record_.attempts == 0 && !request_.last_event_id;
-    if (!services_.settings.admission || !is_new || max_backlog <= micros{0} ||
-        service_ == nullptr || !service_->engine) {
+    if (!is_new || bound <= micros{0}) {
         return true;
     }
     const instant now = services_.now();
@@ -33,13 +39,13 @@
     const double engine_wait_ms = balancer.expected_wait_ms(to);
     scheduling::room at{engine_wait_ms, 0, static_cast<double>(candidates.size()),
                         static_cast<double>(services_.processes())};
-    if (micros{static_cast<std::int64_t>(at.wait_ms * 1000)} > max_backlog) {
+    if (micros{static_cast<std::int64_t>(at.wait_ms * 1000)} > bound) {
         // The balancer prefers an engine with a backlog if it has the prompt cached. Capacity is
         // scarce only if the others have one as well.
         at.wait_ms = std::min(at.wait_ms, balancer.least_wait_ms(candidates, job, now));
     }
     scheduling::admission_coordinator::verdict out;
-    if (!admission.try_send(record_.service, max_backlog, at, work_ms)) {
+    if (!admission.try_send(record_.service, bound, at, work_ms)) {
         at.first_event_ms =
             at.wait_ms + balancer.expected_first_event_ms(to, job, now) - engine_wait_ms;
         if (admission_id_ == 0) {
@@ -56,7 +62,7 @@
             work_ms,
             admission.is_over_share(record_.account),
             std::clamp(lost, millis{0}, route_.timeout / retry_divisor)};
-        out = admission.decide(record_.service, max_backlog, request, at, *this);
+        out = admission.decide(record_.service, bound, request, at, *this);
     }
     const bool has_waited = queued_at_ != instant{};
     switch (out.what) {
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -3,6 +3,7 @@
 #include "hickorypost/gateway/exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hickorypost::gateway {
@@ -115,7 +116,17 @@
     const auto spent = std::chrono::duration_cast<millis>(services_.now() - started_at_);
     const auto rank = services_.models.after({route_, model_rank_, *answer.confidence, spent,
                                               time_left(), attempts_left, prefill_ms, queue_ms});
-    if (rank == model_rank_ || !has_room_elsewhere({}) || !try_take_retry()) {
+    if (rank == model_rank_) {
+        return false;
+    }
+    // While the engines have a backlog, new requests wait for them. A second run takes several
+    // times the engine time of a first one, and would make first answers late.
+    const micros bound = max_backlog();
+    if (bound > micros{0} && micros{std::llround(queue_ms[rank] * 1000)} > bound) {
+        services_.note(record_, "not_escalated", "all engines have a backlog");
+        return false;
+    }
+    if (!has_room_elsewhere({}) || !try_take_retry()) {
         return false;
     }
     model_rank_ = rank;
--- a/modules/gateway/src/load_table.cpp
+++ b/modules/gateway/src/load_table.cpp
@@ -34,7 +34,7 @@
 {
     const auto differ = [](double a, double b, double by) { return std::abs(a - b) >= by; };
     const double speed = it.reported.speed.mean_ms();
-    // Tokens change together with prefill or requests.
+    // Tokens have no threshold of their own: they change together with prefill or requests.
     const double scale = std::max(1.0, static_cast<double>(rows_.size()) /
                                            static_cast<double>(settings_.precise_backends));
     return differ(it.total.prefill_ms, it.reported.prefill_ms,
