--- a/modules/gateway/tests/exchange_admission_test.cpp
+++ b/modules/gateway/tests/exchange_admission_test.cpp
@@ -168,6 +168,24 @@
     BOOST_TEST(it.backends.attempts.size() == 3U);
 }
 
+// Guards against second runs with a larger model that fill the engines while first runs wait.
+BOOST_AUTO_TEST_CASE(answer_with_low_confidence_is_kept_while_the_engines_have_a_backlog)
+{
+    const auto attempts_with_backlog = [](double ms) {
+        engine_gateway it;
+        it.ask([](route_spec& route) {
+            as_stream(route);
+            route.target_latency = millis{1000};
+            route.models = {"small", "large"};
+        });
+        it.set_backlog(ms);
+        it.answer(200, event(0), true, 0.1);
+        return it.backends.attempts.size();
+    };
+    BOOST_TEST(attempts_with_backlog(400) == 2U);
+    BOOST_TEST(attempts_with_backlog(800) == 1U);
+}
+
 // Guards against a queue on plain services, and against one that can't be disabled.
 BOOST_AUTO_TEST_CASE(plain_services_and_hosts_without_admission_control_have_no_queue)
 {
