--- a/modules/gateway/tests/exchange_unsafe_test.cpp
+++ b/modules/gateway/tests/exchange_unsafe_test.cpp
@@ -1,5 +1,5 @@
 /// Non-idempotent requests that have reached a backend server: they are sent once, and the caller
-/// is not told that they have not run.
+/// gets no status that claims that they have not run.
 
 #include "one_gateway.h"
 
--- a/modules/scheduling/include/hickorypost/scheduling/admission_coordinator.h
+++ b/modules/scheduling/include/hickorypost/scheduling/admission_coordinator.h
@@ -43,7 +43,7 @@
     /// the room is not used.
     bool try_send(const std::string& service, micros max_backlog, const room& at, double work_ms);
     /// Decides by the gate of `service`. For `admission::wait` the waiter must stay valid until it
-    /// is told its turn or its rejection, or until `leave`.
+    /// gets its turn or its rejection, or until `leave`.
     verdict decide(const std::string& service, micros max_backlog, const waiting_request& request,
                    const room& at, admission_waiter& waiter);
     /// Removes a request from the queue, if it is there.
--- a/modules/scheduling/include/hickorypost/scheduling/usage_table.h
+++ b/modules/scheduling/include/hickorypost/scheduling/usage_table.h
@@ -108,7 +108,7 @@
     std::size_t max_hosts_ = 1;          ///< since `host_period_start_`
     std::size_t previous_max_hosts_ = 1; ///< in the period before it
     instant host_period_start_;
-    std::string previous_upstream_; ///< that has to be told that this host has left
+    std::string previous_upstream_; ///< host to notify that this host has detached
 };
 
 } // namespace hickorypost::scheduling
--- a/modules/scheduling/src/admission_coordinator.cpp
+++ b/modules/scheduling/src/admission_coordinator.cpp
@@ -125,7 +125,7 @@
     for (const auto& request : it.gate.take_hopeless(it.last_room, now_())) {
         const auto waiter = it.waiters.extract(request.id);
         if (!waiter) {
-            continue; // has left while another request was told
+            continue; // left the queue during the notification of another request
         }
         --waiting_;
         waiter.mapped()->on_hopeless(it.gate.retry_after(request, it.last_room, now_()));
