--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -44,12 +44,14 @@
 void caller_server::accept(int fd)
 {
     if (const auto reason = find_refusal(); !reason.empty()) {
+        ++refused_;
         ::close(fd);
         if (options_.connection_refused) {
             options_.connection_refused(reason);
         }
         return;
     }
+    ++opened_;
     auto connection = std::make_shared<caller_connection>(*this, fd);
     connections_.emplace(connection.get(), connection);
     connection->start();
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -90,6 +90,9 @@
     /// Bytes of answers that have not been written to the sockets yet.
     [[nodiscard]] std::size_t unsent_bytes() const;
     [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
+    /// Connections that were opened, and closed unread, since the start.
+    [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
+    [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
 
 private:
     friend class caller_connection;
@@ -109,6 +112,8 @@
     options options_;
     std::unique_ptr<net::tcp_listener> listener_;
     std::map<caller_connection*, std::shared_ptr<caller_connection>> connections_;
+    std::uint64_t opened_ = 0;
+    std::uint64_t refused_ = 0;
     bool draining_ = false;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -27,6 +27,8 @@
 constexpr millis max_request_duration{25'000};
 constexpr millis tick_period{250};
 constexpr std::uint64_t ticks_per_second = 4;
+/// A main loop iteration of at least this length is logged.
+constexpr millis long_iteration{250};
 constexpr millis drain_check_period{100};
 /// Time from the start of a drain for which new connections are accepted. The platform probes
 /// readiness once a second and stops sending new connections after two failed probes.
@@ -62,7 +64,7 @@
 
 gateway_role::gateway_role(runtime& env)
     : env_{env}, config_{*env.config.gateway}, poller_{[this](std::int64_t took) {
-          overload_.iteration(micros{took}, env_.now());
+          on_iteration(micros{took});
       }},
       timers_{env.now}, directory_{{}, env.config.node.failure_domain},
       balancer_{config_.decisions.balancer, env.config.node.failure_domain, env.random,
@@ -523,6 +525,18 @@
     env_.log->flush();
 }
 
+void gateway_role::on_iteration(micros duration)
+{
+    overload_.iteration(duration, env_.now());
+    const std::uint64_t opened = callers_server_ ? callers_server_->opened() : 0;
+    const std::uint64_t refused = callers_server_ ? callers_server_->refused() : 0;
+    if (duration >= long_iteration) {
+        journal_.long_iteration(duration, opened - opened_before_, refused - refused_before_);
+    }
+    opened_before_ = opened;
+    refused_before_ = refused;
+}
+
 void gateway_role::release_held_requests()
 {
     if (!could_serve_ && can_serve()) {
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -81,6 +81,7 @@
     /// On the control log's leader: commits an incumbent version for each service without one.
     void propose_incumbents();
     void tick();
+    void on_iteration(micros duration);
     void drain_step(const std::function<void()>& done);
     void collect_metrics(telemetry::metrics& metrics) const;
 
@@ -123,6 +124,9 @@
     std::uint64_t tick_count_ = 0;
     bool could_serve_ = false;
     bool was_ready_ = false;
+    /// Counts of `callers_server_` at the end of the previous main loop iteration.
+    std::uint64_t opened_before_ = 0;
+    std::uint64_t refused_before_ = 0;
     bool draining_ = false;
     instant drain_began_;
     bool awaiting_control_responses_ = false; ///< all callers are done, control calls are not
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -246,6 +246,19 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::long_iteration(micros duration, std::uint64_t opened, std::uint64_t refused)
+{
+    env_.metrics.count("long_iterations_total");
+    if (!may_write(true)) {
+        return;
+    }
+    telemetry::event_line line{"long_iteration"};
+    line.add("duration_ms", std::chrono::duration_cast<millis>(duration).count())
+        .add("opened", opened)
+        .add("refused", refused);
+    env_.log->info("{}", line.payload());
+}
+
 void request_journal::suspect_refused(const gateway::request_identity& suspect,
                                       std::uint32_t crashes, std::size_t known)
 {
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -42,6 +42,9 @@
     /// Records a connection that was closed although its caller may not have received its whole
     /// answer.
     void lost(const connection_loss& loss);
+    /// The main loop spent `duration` in one iteration, in which it opened and closed unread this
+    /// many connections of callers.
+    void long_iteration(micros duration, std::uint64_t opened, std::uint64_t refused);
     /// Call once a second. Renews the line budgets and logs how many lines were suppressed.
     void tick();
 
