--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -32,6 +32,7 @@
     /// Waits for the process to exit. Returns its exit code, or nullopt after `limit`.
     std::optional<int> wait(std::chrono::milliseconds limit);
     void kill();
+    [[nodiscard]] pid_t pid() const noexcept { return pid_; }
     /// Number of file descriptors that the process has open.
     [[nodiscard]] std::size_t open_descriptors() const;
 
