[gateway] Bound how many new connections a turn of the main loop reads

Callers saw most requests fail while new connections went to one host with too little processor time. Cause: the host decided once for each iteration of its main loop whether to read new connections, and read all that had arrived or closed all. With several times more than it can serve, each iteration is that many times longer than the one before; the overload ended with the short iteration that closed connections, and the next one read hundreds again. Class: a decision about a batch whose size nothing bounds. Change: new connections wait unread in an accept_queue. Turns handle requests in flight first and read new connections in the rest of 20 ms; an overloaded host closes those it cannot read in 500 ms, and does not listen meanwhile.

--- a/modules/net/include/hickorypost/net/poller.h
+++ b/modules/net/include/hickorypost/net/poller.h
@@ -36,13 +36,20 @@
     /// Must be called before `what` goes; its events of the current batch are dropped.
     void remove(int fd, pollable& what);
     void flush_later(pollable& what);
-    /// Takes back `flush_later`; must be called before `what` goes.
+    /// Calls `flush` after all that `flush_later` asked for in this turn; in the next turn if
+    /// called from `flush` itself.
+    void defer(pollable& what);
+    /// How long the current turn, a batch of events with its flushes, has taken so far.
+    [[nodiscard]] micros turn_time() const;
+    /// Takes back `flush_later` and `defer`; must be called before `what` goes.
     void forget(pollable& what);
 
 private:
     static gboolean on_ready(gint fd, GIOCondition condition, gpointer data);
     void run_batch();
+    void run_turn_end();
     void run_flushes();
+    void arm_flush_source();
 
     int epoll_fd_;
     std::function<void(std::int64_t)> ended_;
@@ -50,7 +57,10 @@
     gsource_ptr flush_source_;
     std::vector<pollable*> batch_;
     std::vector<pollable*> flushes_;
-    bool in_batch_ = false;
+    std::vector<pollable*> deferred_;
+    std::vector<pollable*> running_deferred_;
+    std::int64_t turn_began_ = 0; ///< monotonic time in microseconds
+    bool in_turn_ = false;
 };
 
 /// One-shot timers of one main context behind a single GLib source.
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -114,6 +114,9 @@
     tcp_listener& operator=(const tcp_listener&) = delete;
 
     [[nodiscard]] std::uint16_t port() const noexcept { return port_; }
+    /// Accepts no further connections. Unlike the destructor, the hook may call this.
+    void stop() noexcept { stopped_ = true; }
+    [[nodiscard]] bool stopped() const noexcept { return stopped_; }
     void ready(std::uint32_t events) override;
 
 private:
@@ -123,6 +126,7 @@
     int fd_;
     accept_fn accept_;
     std::uint16_t port_ = 0;
+    bool stopped_ = false;
 };
 
 } // namespace hickorypost::net
--- a/modules/net/src/poller.cpp
+++ b/modules/net/src/poller.cpp
@@ -56,8 +56,9 @@
 
 void poller::forget(pollable& what)
 {
-    std::replace(batch_.begin(), batch_.end(), &what, static_cast<pollable*>(nullptr));
-    std::replace(flushes_.begin(), flushes_.end(), &what, static_cast<pollable*>(nullptr));
+    for (auto* list : {&batch_, &flushes_, &deferred_, &running_deferred_}) {
+        std::replace(list->begin(), list->end(), &what, static_cast<pollable*>(nullptr));
+    }
 }
 
 void poller::flush_later(pollable& what)
@@ -65,7 +66,25 @@
     if (std::find(flushes_.begin(), flushes_.end(), &what) == flushes_.end()) {
         flushes_.push_back(&what);
     }
-    if (in_batch_ || flush_source_) {
+    arm_flush_source();
+}
+
+void poller::defer(pollable& what)
+{
+    if (std::find(deferred_.begin(), deferred_.end(), &what) == deferred_.end()) {
+        deferred_.push_back(&what);
+    }
+    arm_flush_source();
+}
+
+micros poller::turn_time() const
+{
+    return micros{in_turn_ ? g_get_monotonic_time() - turn_began_ : 0};
+}
+
+void poller::arm_flush_source()
+{
+    if (in_turn_ || flush_source_) {
         return;
     }
     GSource* source = g_idle_source_new();
@@ -73,7 +92,8 @@
     const auto run = [](gpointer data) -> gboolean {
         auto* self = static_cast<poller*>(data);
         self->flush_source_.reset();
-        self->run_flushes();
+        self->turn_began_ = g_get_monotonic_time();
+        self->run_turn_end();
         return G_SOURCE_REMOVE;
     };
     g_source_set_callback(source, run, this, nullptr);
@@ -94,8 +114,8 @@
     if (n <= 0) {
         return;
     }
-    const std::int64_t began = g_get_monotonic_time();
-    in_batch_ = true;
+    turn_began_ = g_get_monotonic_time();
+    in_turn_ = true;
     batch_.clear();
     for (int it = 0; it < n; ++it) {
         batch_.push_back(static_cast<pollable*>(events[static_cast<std::size_t>(it)].data.ptr));
@@ -106,10 +126,28 @@
         }
     }
     batch_.clear();
-    in_batch_ = false;
+    run_turn_end();
+}
+
+void poller::run_turn_end()
+{
+    in_turn_ = true;
     run_flushes();
+    running_deferred_ = std::exchange(deferred_, {});
+    for (pollable* const& what : running_deferred_) { // `forget` may clear later ones meanwhile
+        if (what != nullptr) {
+            what->flush();
+        }
+    }
+    run_flushes();
+    const auto took = turn_time();
+    in_turn_ = false;
+    flush_source_.reset(); // its flushes have run
+    if (!deferred_.empty()) {
+        arm_flush_source();
+    }
     if (ended_) {
-        ended_(g_get_monotonic_time() - began);
+        ended_(took.count());
     }
 }
 
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -342,7 +342,7 @@
 
 void tcp_listener::ready(std::uint32_t)
 {
-    while (true) {
+    while (!stopped_) {
         const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             if (errno == EINTR || errno == ECONNABORTED) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.h"
 
+#include <sys/epoll.h>
 #include <utility>
 
 namespace hickorypost {
@@ -59,6 +60,8 @@
     hooks.ended = [this](net::stream_end) { on_ended(); };
     stream_->set_hooks(std::move(hooks));
     arm_timer();
+    // What has arrived is read now, so that the caller of this function can limit how much is.
+    stream_->ready(EPOLLIN);
 }
 
 void caller_connection::arm_timer()
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -15,6 +15,7 @@
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
 
+    /// Reads what has arrived; the connection may be closed afterwards.
     void start();
     /// Ends the exchange and closes the connection at once.
     void close();
@@ -22,6 +23,8 @@
     [[nodiscard]] bool busy() const noexcept { return busy_; }
     /// Whether a request has been read completely and is held until `options::may_handle`.
     [[nodiscard]] bool held() const noexcept { return held_; }
+    /// When the request was read completely.
+    [[nodiscard]] instant arrived() const noexcept { return arrived_; }
     /// Passes the request to `options::handle`.
     void dispatch();
     /// Ends the request with an immediate answer, because the process is about to exit.
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -2,20 +2,36 @@
 
 #include "gateway/caller_connection.h"
 
+#include <algorithm>
 #include <unistd.h>
 #include <vector>
 
 namespace hickorypost {
 
+namespace {
+
+/// Each pause costs the reset of the connections that have not been accepted, many if all callers
+/// try again at once.
+constexpr millis min_listen_pause{100};
+constexpr millis listen_retry_delay{100};
+
+} // namespace
+
 caller_server::caller_server(net::poller& poller, gateway::scheduler& timers, clock_fn now,
-                             options opts)
-    : poller_{poller}, timers_{timers}, now_{std::move(now)}, options_{std::move(opts)}
+                             const net::endpoint& address, options opts)
+    : poller_{poller}, timers_{timers}, now_{std::move(now)}, address_{address},
+      options_{std::move(opts)}, unread_{options_.accept_queue.value_or(
+                                     gateway::accept_queue_settings{})}
 {
 }
 
 caller_server::~caller_server()
 {
-    listener_.reset();
+    stop_accepting();
+    poller_.forget(*this);
+    for (const int fd : unread_.take_all()) {
+        ::close(fd);
+    }
     const auto all = std::exchange(connections_, {});
     for (const auto& [key, connection] : all) {
         connection->close();
@@ -27,36 +43,109 @@
                                                    options opts)
 {
     std::unique_ptr<caller_server> out{
-        new caller_server{poller, timers, std::move(now), std::move(opts)}};
-    out->listener_ = net::tcp_listener::open(poller, address,
-                                             [server = out.get()](int fd) { server->accept(fd); });
-    return out->listener_ ? std::move(out) : nullptr;
+        new caller_server{poller, timers, std::move(now), address, std::move(opts)}};
+    out->accepts_ = out->listen();
+    return out->accepts_ ? std::move(out) : nullptr;
+}
+
+bool caller_server::listen()
+{
+    listener_ = net::tcp_listener::open(poller_, address_, [this](int fd) { accept(fd); });
+    if (listener_) {
+        address_.port = listener_->port();
+    }
+    return listener_ != nullptr;
 }
 
-std::string_view caller_server::find_refusal() const
+void caller_server::stop_accepting()
 {
-    if (options_.max_connections > 0 && connections_.size() >= options_.max_connections) {
-        return "too many connections";
+    accepts_ = false;
+    listener_.reset();
+    timers_.cancel(std::exchange(resume_timer_, 0));
+}
+
+void caller_server::pause_or_resume_listening()
+{
+    if (!accepts_ || resume_timer_ != 0) {
+        return;
+    }
+    if (listener_ && (listener_->stopped() || unread_.is_full())) {
+        listener_.reset();
+        if (options_.listen_paused) {
+            options_.listen_paused();
+        }
+        try_listen_after(min_listen_pause);
+    } else if (!listener_ && unread_.has_room() && !listen()) {
+        if (options_.listen_failed) {
+            options_.listen_failed(errno);
+        }
+        try_listen_after(listen_retry_delay);
     }
-    return options_.may_accept && !options_.may_accept() ? "overloaded" : "";
+}
+
+void caller_server::try_listen_after(millis delay)
+{
+    resume_timer_ = timers_.add(now_() + delay, [this] {
+        resume_timer_ = 0;
+        poller_.defer(*this);
+    });
 }
 
 void caller_server::accept(int fd)
 {
-    if (const auto reason = find_refusal(); !reason.empty()) {
-        ++refused_;
-        ::close(fd);
-        if (options_.connection_refused) {
-            options_.connection_refused(reason);
+    if (options_.max_connections > 0 && connections() >= options_.max_connections) {
+        refuse(fd, "too many connections");
+    } else if (!options_.accept_queue) {
+        read(fd);
+    } else {
+        unread_.push(fd, now_());
+        if (unread_.is_full()) {
+            listener_->stop();
         }
-        return;
+        poller_.defer(*this);
+    }
+}
+
+void caller_server::refuse(int fd, std::string_view reason)
+{
+    ++refused_;
+    ::close(fd);
+    if (options_.connection_refused) {
+        options_.connection_refused(reason);
     }
+}
+
+void caller_server::read(int fd)
+{
     ++opened_;
-    auto connection = std::make_shared<caller_connection>(*this, fd);
+    const auto connection = std::make_shared<caller_connection>(*this, fd);
     connections_.emplace(connection.get(), connection);
     connection->start();
 }
 
+void caller_server::flush()
+{
+    // At least one in each turn, so that they progress beside long turns.
+    for (bool first = true; !released_.empty() && (first || unread_.may_read(poller_.turn_time()));
+         first = false) {
+        const auto connection = released_.front().lock();
+        released_.pop_front();
+        if (connection && connection->held()) {
+            connection->dispatch();
+        }
+    }
+    while (const auto fd = unread_.pop(poller_.turn_time(), now_())) {
+        read(*fd);
+    }
+    for (const int fd : unread_.take_excess(now_())) {
+        refuse(fd, "overloaded");
+    }
+    pause_or_resume_listening();
+    if (!unread_.empty() || !released_.empty()) {
+        poller_.defer(*this);
+    }
+}
+
 void caller_server::release_held()
 {
     std::vector<std::shared_ptr<caller_connection>> held;
@@ -65,9 +154,10 @@
             held.push_back(connection);
         }
     }
-    for (const auto& connection : held) {
-        connection->dispatch();
-    }
+    std::sort(held.begin(), held.end(),
+              [](const auto& a, const auto& b) { return a->arrived() < b->arrived(); });
+    released_.assign(held.begin(), held.end());
+    poller_.defer(*this);
 }
 
 std::vector<std::shared_ptr<caller_connection>> caller_server::busy_connections() const
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -1,14 +1,17 @@
 #pragma once
 
+#include "hickorypost/gateway/accept_queue.h"
 #include "hickorypost/gateway/exchange.h"
 #include "hickorypost/http1/parser.h"
 #include "hickorypost/net/poller.h"
 #include "hickorypost/net/tcp_stream.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +44,7 @@
 };
 
 /// HTTP/1.1 server on one address. Connections are persistent and carry one request at a time.
-class caller_server {
+class caller_server final : public net::pollable {
 public:
     struct options {
         std::function<gateway::caller_limits()> limits;
@@ -53,30 +56,34 @@
         millis max_hold_time{0};
         /// A connection was closed while an answer was pending.
         std::function<void(const connection_loss&)> connection_lost = nullptr;
-        /// While this returns false, new connections are closed unread, so that their callers try
-        /// another host at once. If unset, all are accepted.
-        std::function<bool()> may_accept = nullptr;
+        /// How new connections wait to be read. If unset, they are read as they arrive.
+        std::optional<gateway::accept_queue_settings> accept_queue = std::nullopt;
         /// Upper bound of open connections; further ones are closed unread. 0: none.
         std::size_t max_connections = 0;
         /// A new connection was closed unread, for this reason.
         std::function<void(std::string_view reason)> connection_refused = nullptr;
+        /// Listening is paused because of overload.
+        std::function<void()> listen_paused = nullptr;
+        /// Listening could not be resumed and will be tried again; an errno value.
+        std::function<void(int error)> listen_failed = nullptr;
     };
 
     /// Listens on `address`. Returns null and sets errno on failure.
     static std::unique_ptr<caller_server> open(net::poller& poller, gateway::scheduler& timers,
                                                clock_fn now, const net::endpoint& address,
                                                options opts);
-    ~caller_server();
+    ~caller_server() override;
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
 
     /// From now on each answer closes its connection.
     void begin_drain() { draining_ = true; }
-    /// Dispatches all held requests. Call once `may_handle` returns true.
+    /// Dispatches the held requests, as many in a turn of the main loop as `accept_queue` allows.
+    /// Call once `may_handle` returns true.
     void release_held();
     /// Closes the listening socket, so that new callers are refused and use another host at once.
-    void stop_accepting() { listener_.reset(); }
-    [[nodiscard]] bool accepts() const noexcept { return listener_ != nullptr; }
+    void stop_accepting();
+    [[nodiscard]] bool accepts() const noexcept { return accepts_; }
     /// Ends all requests in flight with an immediate answer, because the process is about to exit.
     void finish_requests();
     /// Passes on to all exchanges that a suspect has become refused.
@@ -89,7 +96,12 @@
     [[nodiscard]] std::size_t pending_answers() const;
     /// Bytes of answers that have not been written to the sockets yet.
     [[nodiscard]] std::size_t unsent_bytes() const;
-    [[nodiscard]] std::size_t connections() const noexcept { return connections_.size(); }
+    [[nodiscard]] std::size_t connections() const noexcept
+    {
+        return connections_.size() + unread_.size();
+    }
+    /// Whether this host receives more connections than it can process.
+    [[nodiscard]] bool is_overloaded() const noexcept { return unread_.is_overloaded(); }
     /// Connections that were opened, and closed unread, since the start.
     [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
     [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
@@ -97,10 +109,21 @@
 private:
     friend class caller_connection;
 
-    caller_server(net::poller& poller, gateway::scheduler& timers, clock_fn now, options opts);
+    caller_server(net::poller& poller, gateway::scheduler& timers, clock_fn now,
+                  const net::endpoint& address, options opts);
+    void ready(std::uint32_t) override {}
+    /// Runs at the end of a main loop turn: reads new connections, closes those that would
+    /// wait too long.
+    void flush() override;
     void accept(int fd);
-    /// Why a new connection is to be closed unread; empty: it is not.
-    [[nodiscard]] std::string_view find_refusal() const;
+    void read(int fd);
+    /// Listens on `address_`. Returns false and sets errno on failure.
+    bool listen();
+    /// Closes the listening socket while the host is overloaded, as a connection that the kernel
+    /// refuses takes none of this process's time. Listens again once the queue has room.
+    void pause_or_resume_listening();
+    void try_listen_after(millis delay);
+    void refuse(int fd, std::string_view reason);
     /// Connections whose request has been read and is not answered. Copies, as handling one may
     /// remove it.
     [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> busy_connections() const;
@@ -109,11 +132,16 @@
     net::poller& poller_;
     gateway::scheduler& timers_;
     clock_fn now_;
+    net::endpoint address_;
     options options_;
-    std::unique_ptr<net::tcp_listener> listener_;
+    std::unique_ptr<net::tcp_listener> listener_; ///< null while paused
     std::map<caller_connection*, std::shared_ptr<caller_connection>> connections_;
+    gateway::accept_queue unread_;
+    std::deque<std::weak_ptr<caller_connection>> released_; ///< held requests to dispatch
     std::uint64_t opened_ = 0;
     std::uint64_t refused_ = 0;
+    std::uint64_t resume_timer_ = 0;
+    bool accepts_ = false;
     bool draining_ = false;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -298,8 +298,12 @@
                },
                [this](incoming_request request) { return handle_caller(std::move(request)); },
                [this] { return can_serve(); }, config_.decisions.start_hold, nullptr,
-               [this] { return !overload_.is_overloaded(); }, max_caller_connections(),
-               [this](std::string_view reason) { journal_.connection_refused(reason); }}));
+               gateway::accept_queue_settings{}, max_caller_connections(),
+               [this](std::string_view reason) { journal_.connection_refused(reason); },
+               [this] { journal_.listen_paused(); },
+               [this](int error) {
+                   env_.log->error("cannot listen for callers again: {}", std::strerror(error));
+               }}));
     if (config_.metrics.port != 0) {
         BOOST_LEAF_ASSIGN(
             metrics_server_,
@@ -527,7 +531,6 @@
 
 void gateway_role::on_iteration(micros duration)
 {
-    overload_.iteration(duration, env_.now());
     const std::uint64_t opened = callers_server_ ? callers_server_->opened() : 0;
     const std::uint64_t refused = callers_server_ ? callers_server_->refused() : 0;
     if (duration >= long_iteration) {
@@ -647,7 +650,7 @@
                 static_cast<double>(pool_.busy_connections()));
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
-    metrics.set("overloaded", overload_.is_overloaded() ? 1 : 0);
+    metrics.set("overloaded", callers_server_->is_overloaded() ? 1 : 0);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -9,7 +9,6 @@
 #include "gateway/load_report.h"
 #include "gateway/request_journal.h"
 #include "hickorypost/gateway/exchange.h"
-#include "hickorypost/gateway/overload_detector.h"
 
 #include <limits>
 #include <map>
@@ -87,7 +86,6 @@
 
     runtime& env_;
     const gateway_settings& config_;
-    gateway::overload_detector overload_{{}};
     net::poller poller_;
     timers_port timers_;
     gateway::backend_directory directory_;
--- a/src/gateway/request_journal.cpp
+++ b/src/gateway/request_journal.cpp
@@ -246,6 +246,12 @@
     env_.log->info("{}", line.payload());
 }
 
+void request_journal::listen_paused()
+{
+    env_.metrics.count("caller_listen_pauses_total");
+    ++listen_pauses_;
+}
+
 void request_journal::long_iteration(micros duration, std::uint64_t opened, std::uint64_t refused)
 {
     env_.metrics.count("long_iterations_total");
@@ -320,6 +326,11 @@
 {
     ordinary_budget_ = lines_per_second_;
     failure_budget_ = lines_per_second_ * failure_factor;
+    if (const auto pauses = std::exchange(listen_pauses_, 0); pauses > 0) {
+        telemetry::event_line line{"caller_listen_paused"};
+        line.add("times", pauses);
+        env_.log->info("{}", line.payload());
+    }
     if (suppressed_ordinary_ + suppressed_failures_ == 0) {
         return;
     }
--- a/src/gateway/request_journal.h
+++ b/src/gateway/request_journal.h
@@ -42,6 +42,8 @@
     /// Records a connection that was closed although its caller may not have received its whole
     /// answer.
     void lost(const connection_loss& loss);
+    /// The host accepts no connections of callers for some milliseconds, because it is overloaded.
+    void listen_paused();
     /// The main loop spent `duration` in one iteration, in which it opened and closed unread this
     /// many connections of callers.
     void long_iteration(micros duration, std::uint64_t opened, std::uint64_t refused);
@@ -55,6 +57,7 @@
     double lines_per_second_;
     double ordinary_budget_;
     double failure_budget_;
+    std::uint64_t listen_pauses_ = 0; ///< in this second
     std::uint64_t suppressed_ordinary_ = 0;
     std::uint64_t suppressed_failures_ = 0;
 };
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -228,22 +228,32 @@
 {
     net::poller poller;
     fake_scheduler timers;
-    bool overloaded = true;
     std::size_t requests = 0;
     std::string reason;
     const net::endpoint address = unused_address();
+    // Each turn is too long to read a connection, so that one is read in 600 ms.
+    const gateway::accept_queue_settings settings{.max_turn = millis{0},
+                                                  .max_pause = millis{600},
+                                                  .late_after = millis{100},
+                                                  .max_wait = millis{250}};
     const auto server = caller_server::open(
-        poller, timers, [] { return instant{}; }, address,
+        poller, timers, [&timers] { return timers.now; }, address,
         {.limits = [] { return gateway::caller_limits{}; },
          .handle =
              [&requests](const incoming_request&) {
                  ++requests;
                  return nullptr;
              },
-         .may_accept = [&overloaded] { return !overloaded; },
-         .max_connections = 1,
+         .accept_queue = settings,
+         .max_connections = 3,
          .connection_refused = [&reason](std::string_view why) { reason = why; }});
-    const auto connect_and_ask = [&address] {
+    const auto run_turns = [] {
+        constexpr int turns = 20; // a connection that is not read asks for another turn
+        for (int n = 0; n < turns; ++n) {
+            g_main_context_iteration(nullptr, FALSE);
+        }
+    };
+    const auto connect_and_ask = [&] {
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in to{};
         to.sin_family = AF_INET;
@@ -253,19 +263,29 @@
         if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
             (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
         }
-        run_main_loop();
+        run_turns();
         return fd;
     };
+    const int first = connect_and_ask();
+    BOOST_TEST(requests == 1U);
+    const int second = connect_and_ask();
     const int refused = connect_and_ask();
-    BOOST_TEST(requests == 0U);
+    BOOST_TEST(requests == 1U);
+    BOOST_TEST(reason.empty());
+    for (int n = 0; n < 6; ++n) {
+        timers.run_for(millis{100});
+        run_turns();
+    }
+    BOOST_TEST(requests == 2U);
     BOOST_TEST(reason == "overloaded");
-    overloaded = false;
+    timers.run_for(millis{4000});
+    run_turns();
     const int accepted = connect_and_ask();
-    BOOST_TEST(requests == 1U);
+    BOOST_TEST(requests == 3U);
     const int above = connect_and_ask();
-    BOOST_TEST(requests == 1U);
+    BOOST_TEST(requests == 3U);
     BOOST_TEST(reason == "too many connections");
-    for (const int fd : {refused, accepted, above}) {
+    for (const int fd : {first, second, refused, accepted, above}) {
         ::close(fd);
     }
 }
