--- a/modules/gateway/tests/accept_queue_test.cpp
+++ b/modules/gateway/tests/accept_queue_test.cpp
@@ -38,17 +38,19 @@
 
     void accept(instant at)
     {
-        if (queue.is_full()) {
+        if (sheds && queue.is_full()) {
             ++closed;
             return;
         }
         arrived.push_back(at);
-        queue.push(0, now);
+        if (sheds) {
+            queue.push(0, now);
+        }
     }
 
     void turn(instant began)
     {
-        while (queue.pop(now - began, now)) {
+        while (sheds ? queue.pop(now - began, now).has_value() : !arrived.empty()) {
             now += service_time;
             ++read;
             // A caller gives up if its request has not been read after a second.
@@ -63,6 +65,7 @@
         }
     }
 
+    bool sheds = true; ///< uses the queue; otherwise, reads all that has arrived
     millis service_time{8};
     millis follow_up_time{0};
     millis follow_up_delay{300};
@@ -84,6 +87,9 @@
 // Guards against a host that reads three times what it can serve, and serves none of it in time.
 BOOST_AUTO_TEST_CASE(overloaded_host_serves_what_it_reads)
 {
+    loop_model reads_all{.sheds = false};
+    reads_all.run(millis{10'000}, millis{8} / 3);
+    BOOST_TEST(reads_all.read_in_time * 4 < reads_all.read * 3);
     loop_model it;
     it.run(millis{10'000}, millis{8} / 3);
     BOOST_TEST(it.read_in_time * 4 >= it.read * 3);
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -223,6 +223,55 @@
     }
 }
 
+/// Connects and sends a request without waiting for the answer. Returns the descriptor.
+int send_request(const net::endpoint& address, const std::string& target)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    to.sin_addr.s_addr = address.ip;
+    const std::string text = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
+        (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+    return fd;
+}
+
+// Guards against a host that lets those who came last go first once it has its configuration.
+BOOST_AUTO_TEST_CASE(held_requests_are_released_oldest_first)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    bool ready = false;
+    std::string order;
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&order](const incoming_request& request) {
+                                     order += request.head.target;
+                                     return nullptr;
+                                 },
+                             .may_handle = [&ready] { return ready; },
+                             .max_hold_time = millis{60'000}});
+    std::vector<int> callers;
+    for (const auto* target : {"/a", "/b", "/c", "/d", "/e", "/f"}) {
+        callers.push_back(send_request(address, target));
+        run_main_loop();
+        timers.run_for(millis{1});
+    }
+    BOOST_TEST(order.empty());
+    ready = true;
+    server->release_held();
+    run_main_loop();
+    BOOST_TEST(order == "/a/b/c/d/e/f");
+    for (const int fd : callers) {
+        ::close(fd);
+    }
+}
+
 // Guards against an overloaded host that reads what it cannot serve.
 BOOST_AUTO_TEST_CASE(new_connection_is_closed_unread_while_the_host_is_overloaded)
 {
@@ -254,15 +303,7 @@
         }
     };
     const auto connect_and_ask = [&] {
-        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(address.port);
-        to.sin_addr.s_addr = address.ip;
-        constexpr std::string_view text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-        if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
-            (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-        }
+        const int fd = send_request(address, "/");
         run_turns();
         return fd;
     };
