--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -125,7 +125,7 @@
 
 void caller_server::flush()
 {
-    // At least one in each turn, so that they progress beside long turns.
+    // At least one in each turn, so that they progress even if turns are long.
     for (bool first = true; !released_.empty() && (first || unread_.may_read(poller_.turn_time()));
          first = false) {
         const auto connection = released_.front().lock();
