[gateway] Count the bytes between hosts by message type

Change: peer_mesh counts the bytes of each message type; metrics mesh_sent_bytes and mesh_received_bytes, and one log line every 10 s.

--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -57,6 +57,10 @@
     account_usage = 75,
 };
 
+/// Name of a message type in metrics and logs. Types that gateway hosts do not exchange have their
+/// number as name.
+[[nodiscard]] std::string name_of(message_type type);
+
 inline constexpr std::uint32_t protocol_oldest = 1;
 inline constexpr std::uint32_t protocol_newest = 1;
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -27,6 +27,7 @@
 constexpr millis max_request_duration{25'000};
 constexpr millis tick_period{250};
 constexpr std::uint64_t ticks_per_second = 4;
+constexpr std::uint64_t ticks_per_traffic_summary = 10 * ticks_per_second;
 /// A main loop iteration of at least this length is logged.
 constexpr millis long_iteration{250};
 constexpr millis drain_check_period{100};
@@ -526,6 +527,11 @@
         backoffs_.expire();
         engine_capacity_ms_per_s_ = load_report_->engine_capacity_ms_per_s();
     }
+    if (tick_count_ % ticks_per_traffic_summary == 0) {
+        if (const auto bytes = mesh_->traffic().take_summary(); !bytes.empty()) {
+            env_.log->info("bytes sent/received between hosts: {}", bytes);
+        }
+    }
     env_.log->flush();
 }
 
@@ -655,6 +661,7 @@
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
     metrics.set("link_buffer_bytes", static_cast<double>(mesh_->buffer_bytes()));
+    mesh_->traffic().collect(metrics);
     metrics.set("hosts", static_cast<double>(control_->host_count()));
     metrics.set("log_lines_dropped", static_cast<double>(telemetry::dropped_log_lines()));
     metrics.set("failure_domains_evacuated",
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -69,7 +69,7 @@
         on_up(it);
     };
     hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
-        hooks_.message(it.peer().node, type, body);
+        on_message(it, type, body);
     };
     hooks.down = [this](net::link& it, std::string_view why) {
         incoming_[it.peer().node].erase(&it);
@@ -104,7 +104,7 @@
     net::link_hooks hooks;
     hooks.up = [this](net::link& it) { on_up(it); };
     hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
-        hooks_.message(it.peer().node, type, body);
+        on_message(it, type, body);
     };
     hooks.down = [this](net::link& it, std::string_view why) { on_down(it, why); };
     net::connector_options options;
@@ -135,6 +135,12 @@
     }
 }
 
+void peer_mesh::on_message(net::link& it, wire::message_type type, std::string_view body)
+{
+    traffic_.received(type, body.size() + wire::frame_header_bytes);
+    hooks_.message(it.peer().node, type, body);
+}
+
 net::link* peer_mesh::link_to(const node_id& to) const
 {
     if (const auto it = connectors_.find(to); it != connectors_.end()) {
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/mesh_traffic.h"
 #include "hickorypost/net/connector.h"
 #include "hickorypost/net/listener.h"
 #include "hickorypost/wire/messages.h"
@@ -48,7 +49,9 @@
         if (it == nullptr) {
             return false;
         }
+        const auto before = it->counters().bytes_sent;
         it->send(message);
+        traffic_.sent(M::type, it->counters().bytes_sent - before);
         return true;
     }
 
@@ -61,6 +64,7 @@
     [[nodiscard]] std::size_t unsent_bytes() const;
     /// Memory allocated by the buffers of all links that are up, in bytes.
     [[nodiscard]] std::size_t buffer_bytes() const;
+    [[nodiscard]] mesh_traffic& traffic() noexcept { return traffic_; }
     /// Core hosts with their failure domains. Includes this host if it has a disk.
     [[nodiscard]] const std::map<node_id, std::string>& core() const noexcept { return core_; }
     /// All hosts to which a link is up.
@@ -74,6 +78,7 @@
     void connect_to(const node_id& host);
     void on_up(net::link& it);
     void on_down(net::link& it, std::string_view why);
+    void on_message(net::link& it, wire::message_type type, std::string_view body);
     [[nodiscard]] wire::hello hello() const;
     net::link_options link_options() const;
     [[nodiscard]] std::size_t
@@ -83,6 +88,7 @@
     net::peer_address self_;
     bool has_disk_;
     mesh_hooks hooks_;
+    mesh_traffic traffic_;
     std::map<node_id, std::string> core_; ///< failure domain by host
     std::map<node_id, std::unique_ptr<net::connector>> connectors_;
     std::map<node_id, std::set<net::link*>> incoming_;
