[gateway] Bound the load reports that each host receives

Cause: a host with a disk sent every change of load within 10 ms, and the whole load once a second, to all hosts attached to it, also to those that take reports from another one and drop these: rows and messages grew with hosts times backend servers. Rows were also sent for each change of three connections, which the sums leave out. Change: a host is sent reports only while it reports its own load to the sender; load_report_pacer lets the interval grow with the number of loaded backend servers up to 100 ms and bounds the rows a second, largest changes first; a rotation replaces the whole report of each second; whole reports are sent on request, when an earlier report was lost; changes of connections alone are not reported.

Tried and left out: sums with the connections of other hosts.

--- a/modules/gateway/include/hickorypost/gateway/load_table.h
+++ b/modules/gateway/include/hickorypost/gateway/load_table.h
@@ -2,9 +2,10 @@
 
 #include "hickorypost/gateway/load_balancer.h"
 
+#include <limits>
 #include <map>
+#include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace hickorypost::gateway {
@@ -18,13 +19,12 @@
     /// it. The more backend servers there are, the less the exact load of each matters to find a
     /// lightly loaded one, while the rows to report grow with backend servers times hosts.
     std::size_t precise_backends = 60;
-    double min_connections_change = 3;
     /// Smallest relative change of an engine's event interval that is reported.
     double min_speed_change = 0.15;
 };
 
 /// The load of each gateway process on each backend server. Determines which totals have changed
-/// enough to be reported to other processes. Performs no I/O.
+/// enough to be reported to other processes. Connections are not summed. Performs no I/O.
 ///
 /// Changes are reported immediately, because a prompt of 30,000 tokens occupies an engine for a
 /// second and processes that learn of it 200 ms late send their requests to the same engine. With
@@ -46,27 +46,42 @@
 
     /// The load of all processes except `source` on a backend server.
     [[nodiscard]] remote_load without(const std::string& source, const std::string& backend) const;
-    /// Returns the backend servers whose totals must be reported, and marks them as reported.
-    std::vector<std::string> take_changed();
+    /// Returns the backend servers whose totals must be reported, those with the largest changes
+    /// first and at most `limit`, and marks them as reported. The others remain to be reported.
+    std::vector<std::string> take_changed(std::size_t limit = no_limit);
+    /// Returns the next `limit` backend servers in rotation, whether or not their totals have
+    /// changed, and marks them as reported. Reports of them correct the small changes that
+    /// `take_changed` leaves out.
+    std::vector<std::string> take_rotation(std::size_t limit);
+    /// Whether totals wait to be reported.
+    [[nodiscard]] bool has_changes() const noexcept { return !changed_.empty(); }
+    /// Number of backend servers with load that is known or has been reported.
+    [[nodiscard]] std::size_t size() const noexcept { return rows_.size(); }
     /// All backend servers with load.
     [[nodiscard]] std::vector<std::string> all() const;
 
+    static constexpr std::size_t no_limit = std::numeric_limits<std::size_t>::max();
+
 private:
     /// The load on one backend server.
     struct row {
         std::map<std::string, remote_load> loads_by_source;
         remote_load total;
         remote_load reported; ///< total at the last report
-        bool is_changed = false;
     };
 
-    [[nodiscard]] bool must_be_reported(const row& it) const;
+    /// Difference between the total and the last report, in multiples of the smallest change that
+    /// is reported.
+    [[nodiscard]] double significance(const row& it) const;
     /// Recomputes the total and marks the row if it must be reported.
     void update_total(row& it, const std::string& backend);
+    /// Marks a row as reported and removes it if it has no load. Returns the next row.
+    std::map<std::string, row>::iterator reported(std::map<std::string, row>::iterator it);
 
     load_table_settings settings_;
-    std::unordered_map<std::string, row> rows_;
-    std::vector<std::string> changed_;
+    std::map<std::string, row> rows_; ///< ordered, for `take_rotation`
+    std::set<std::string> changed_;
+    std::string rotated_to_; ///< last backend server that `take_rotation` returned
 };
 
 } // namespace hickorypost::gateway
--- a/modules/gateway/src/load_table.cpp
+++ b/modules/gateway/src/load_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace hickorypost::gateway {
@@ -10,7 +11,7 @@
 
 bool is_zero(const remote_load& it)
 {
-    return it.requests <= 0 && it.prefill_ms <= 0 && it.connections <= 0 && it.speed.weight <= 0;
+    return it.requests <= 0 && it.prefill_ms <= 0 && it.speed.weight <= 0;
 }
 
 } // namespace
@@ -21,29 +22,32 @@
     for (const auto& [source, part] : it.loads_by_source) {
         it.total.requests += part.requests;
         it.total.prefill_ms += part.prefill_ms;
-        it.total.connections += part.connections;
         it.total.speed += part.speed;
         it.total.tokens += part.tokens;
     }
-    if (must_be_reported(it) && !std::exchange(it.is_changed, true)) {
-        changed_.push_back(backend);
+    if (significance(it) >= 1) {
+        changed_.insert(backend);
     }
 }
 
-bool load_table::must_be_reported(const row& it) const
+double load_table::significance(const row& it) const
 {
-    const auto differ = [](double a, double b, double by) { return std::abs(a - b) >= by; };
-    const double speed = it.reported.speed.mean_ms();
-    // Tokens have no threshold of their own: they change together with prefill or requests.
     const double scale = std::max(1.0, static_cast<double>(rows_.size()) /
                                            static_cast<double>(settings_.precise_backends));
-    return differ(it.total.prefill_ms, it.reported.prefill_ms,
-                  scale * settings_.min_prefill_change_ms) ||
-           differ(it.total.requests, it.reported.requests, scale * settings_.min_requests_change) ||
-           differ(it.total.connections, it.reported.connections,
-                  settings_.min_connections_change) ||
-           (it.total.speed.weight > 0 &&
-            differ(it.total.speed.mean_ms(), speed, settings_.min_speed_change * speed));
+    const auto ratio = [](double a, double b, double threshold) {
+        return std::abs(a - b) / threshold;
+    };
+    // Tokens have no threshold of their own: they change together with prefill or requests.
+    double out = std::max(
+        ratio(it.total.prefill_ms, it.reported.prefill_ms, scale * settings_.min_prefill_change_ms),
+        ratio(it.total.requests, it.reported.requests, scale * settings_.min_requests_change));
+    if (it.total.speed.weight > 0) {
+        const double speed = it.reported.speed.mean_ms();
+        out = std::max(out, speed <= 0 ? 1
+                                       : ratio(it.total.speed.mean_ms(), speed,
+                                               settings_.min_speed_change * speed));
+    }
+    return out;
 }
 
 bool load_table::set(const std::string& source, const std::string& backend, const remote_load& load)
@@ -55,7 +59,7 @@
         it.loads_by_source[source] = load;
     }
     update_total(it, backend);
-    return it.is_changed;
+    return changed_.contains(backend);
 }
 
 std::vector<std::string> load_table::replace(const std::string& source,
@@ -95,17 +99,48 @@
     return out;
 }
 
-std::vector<std::string> load_table::take_changed()
+std::map<std::string, load_table::row>::iterator
+load_table::reported(std::map<std::string, row>::iterator it)
 {
-    for (const auto& backend : changed_) {
-        const auto found = rows_.find(backend);
-        found->second.reported = found->second.total;
-        found->second.is_changed = false;
-        if (found->second.loads_by_source.empty()) {
-            rows_.erase(found);
+    it->second.reported = it->second.total;
+    changed_.erase(it->first);
+    return it->second.loads_by_source.empty() ? rows_.erase(it) : std::next(it);
+}
+
+std::vector<std::string> load_table::take_changed(std::size_t limit)
+{
+    std::vector<std::string> out{changed_.begin(), changed_.end()};
+    if (out.size() > limit) {
+        std::vector<std::pair<double, std::string>> ranked;
+        ranked.reserve(out.size());
+        for (auto& backend : out) {
+            const double rank = significance(rows_.at(backend));
+            ranked.emplace_back(rank, std::move(backend));
+        }
+        std::sort(ranked.rbegin(), ranked.rend());
+        ranked.resize(limit);
+        out.clear();
+        for (auto& [rank, backend] : ranked) {
+            out.push_back(std::move(backend));
         }
     }
-    return std::exchange(changed_, {});
+    for (const auto& backend : out) {
+        reported(rows_.find(backend));
+    }
+    return out;
+}
+
+std::vector<std::string> load_table::take_rotation(std::size_t limit)
+{
+    std::vector<std::string> out;
+    auto it = rows_.upper_bound(rotated_to_);
+    for (std::size_t left = std::min(limit, rows_.size()); left > 0; --left) {
+        it = it == rows_.end() ? rows_.begin() : it;
+        out.push_back(it->first);
+        it = reported(it);
+    }
+    rotated_to_ = out.empty() ? std::string{} : out.back();
+    return out;
 }
 
 std::vector<std::string> load_table::all() const
--- a/modules/gateway/tests/load_table_test.cpp
+++ b/modules/gateway/tests/load_table_test.cpp
@@ -84,4 +84,41 @@
     BOOST_TEST(it.without("", "two").prefill_ms == 40);
 }
 
+// Guards against rows for changes of connections, which are not summed.
+BOOST_AUTO_TEST_CASE(connections_alone_are_not_reported)
+{
+    load_table it{{}};
+    BOOST_TEST(!it.set("a", "engine", {0, 0, 70}));
+    BOOST_TEST(it.all().empty());
+}
+
+// Guards against spending a limited report on small changes while a long prompt waits.
+BOOST_AUTO_TEST_CASE(largest_changes_are_reported_first)
+{
+    load_table it{{}};
+    it.set("a", "short", {1, 20});
+    it.set("a", "long", {1, 900});
+    it.set("a", "middle", {1, 200});
+    BOOST_TEST(it.take_changed(1) == std::vector<std::string>{"long"});
+    BOOST_TEST(it.has_changes());
+    BOOST_TEST(it.take_changed(1) == std::vector<std::string>{"middle"});
+    BOOST_TEST(it.take_changed() == std::vector<std::string>{"short"});
+    BOOST_TEST(!it.has_changes());
+}
+
+// Guards against small changes that are never reported, and against rows of backend servers that
+// have no load any more.
+BOOST_AUTO_TEST_CASE(rotation_reports_every_backend_server_and_removes_empty_ones)
+{
+    load_table it{{}};
+    for (const char* const backend : {"e1", "e2", "e3"}) {
+        it.set("a", backend, {1, 1});
+    }
+    BOOST_TEST(it.take_rotation(2) == (std::vector<std::string>{"e1", "e2"}));
+    it.set("a", "e3", {});
+    BOOST_TEST(it.take_rotation(2) == (std::vector<std::string>{"e3", "e1"}));
+    BOOST_TEST(it.size() == 2U);
+    BOOST_TEST(it.take_rotation(5).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -434,7 +434,8 @@
 struct load_report {
     static constexpr auto type = message_type::load_report;
     std::vector<backend_load> loads;
-    bool whole = false; ///< true: the complete load; false: only the changed entries
+    bool whole = false;        ///< true: the complete load; false: only some entries
+    bool request_full = false; ///< the receiver shall answer with a complete report
 };
 
 struct account_rate {
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -293,6 +293,7 @@
 {
     if (has_disk_ && mesh_.is_core(host)) {
         send_full_state(host);
+        loads_.require_full_report(host);
     }
     update_attachments();
 }
@@ -315,7 +316,6 @@
             loads_.on_host_gone(from);
             usage_.on_host_gone(from);
             if (decoded->on) {
-                loads_.require_full_report(from);
                 attachments_.downstream_hosts.insert(from);
                 send_full_state(from);
             }
--- a/src/gateway/load_feed.cpp
+++ b/src/gateway/load_feed.cpp
@@ -8,14 +8,10 @@
 
 namespace {
 
-/// Minimum interval between reports; a report after a longer pause is sent at once. The interval
-/// limits the load of a receiver to 100 reports per second from each host that reports to it,
-/// however many hosts there are.
-constexpr millis min_report_interval{10};
-/// Interval of full reports, which correct the sum of small changes that were not reported.
-constexpr millis full_report_period{1000};
+/// Interval of reports to each host, also if nothing has changed.
+constexpr millis keepalive_period{1000};
 /// The load reported by a host is dropped after this time without a report from it. Equals two and
-/// a half periods of full reports.
+/// a half keepalive periods.
 constexpr millis report_timeout{2500};
 
 std::uint32_t rounded(double value)
@@ -28,7 +24,7 @@
 load_feed::load_feed(runtime& env, peer_mesh& mesh, gateway::load_balancer& balancer, bool has_disk,
                      const attachments& around)
     : env_{env}, mesh_{mesh}, balancer_{balancer}, has_disk_{has_disk}, around_{around},
-      local_load_{{}}, total_load_{{}}
+      local_load_{{}}, total_load_{{}}, local_pacer_{{}}, total_pacer_{{}}
 {
 }
 
@@ -78,7 +74,15 @@
     if (!expected) {
         return; // a late report of a host that this one is no longer attached to
     }
-    last_reports_[from] = env_.now();
+    const bool is_first = last_reports_.insert_or_assign(from, env_.now()).second;
+    if (report.request_full || (from_attached && is_first)) {
+        require_full_report(from);
+    }
+    if (is_first && !report.whole) {
+        // Earlier reports of `from` have been dropped.
+        full_report_wanted_.insert(from);
+        schedule_flush();
+    }
     load_map loads;
     for (const auto& it : report.loads) {
         loads[it.id] = {
@@ -143,6 +147,7 @@
 {
     last_reports_.erase(host);
     full_report_pending_.erase(host);
+    full_report_wanted_.erase(host);
     if (has_disk_) {
         local_load_.forget(host);
         update_balancer(total_load_.forget(host));
@@ -164,10 +169,11 @@
         return;
     }
     if (!upstream_.empty()) {
-        mesh_.send(upstream_, wire::load_report{{}, true}); // clears this host's load there
+        mesh_.send(upstream_, wire::load_report{{}, true, false}); // clears this host's load there
     }
     upstream_ = new_upstream;
     full_report_pending_.clear();
+    full_report_wanted_ = {upstream_};
     require_full_report(upstream_);
 }
 
@@ -176,29 +182,45 @@
     if (flush_timer_.armed()) {
         return;
     }
-    const auto since = std::chrono::duration_cast<millis>(env_.now() - last_flush_);
-    const millis wait = std::max(millis{0}, min_report_interval - since);
+    const instant now = env_.now();
+    const millis wait = std::max(local_pacer_.wait(local_load_.size(), now),
+                                 total_pacer_.wait(total_load_.size(), now));
     flush_timer_ = net::timer::once(wait, [this] { flush(); });
 }
 
+std::vector<std::string> load_feed::take_due(gateway::load_table& sums,
+                                             gateway::load_report_pacer& pacer, instant now)
+{
+    const auto limit = pacer.begin_report(sums.size(), now);
+    auto out = sums.take_changed(limit.changed);
+    pacer.end_report(out.size());
+    const auto rotated = sums.take_rotation(limit.rotated);
+    out.insert(out.end(), rotated.begin(), rotated.end());
+    return out;
+}
+
 void load_feed::flush()
 {
-    last_flush_ = env_.now();
-    const auto local_changes = local_load_.take_changed();
+    const instant now = env_.now();
+    const auto local_backends = take_due(local_load_, local_pacer_, now);
     if (!has_disk_) {
         if (!upstream_.empty()) {
-            send_report(upstream_, local_load_, local_changes);
+            send_report(upstream_, local_load_, local_backends);
         }
-        return;
-    }
-    const auto total_changes = total_load_.take_changed();
-    for (const auto& host : mesh_.linked()) {
-        if (mesh_.is_core(host)) {
-            send_report(host, local_load_, local_changes);
-        } else if (around_.downstream_hosts.contains(host)) {
-            send_report(host, total_load_, total_changes);
+    } else {
+        const auto total_backends = take_due(total_load_, total_pacer_, now);
+        for (const auto& host : mesh_.linked()) {
+            if (mesh_.is_core(host)) {
+                send_report(host, local_load_, local_backends);
+            } else if (around_.downstream_hosts.contains(host) && is_reporting(host)) {
+                send_report(host, total_load_, total_backends);
+            }
         }
     }
+    keepalive_due_ = false;
+    if (local_load_.has_changes() || total_load_.has_changes()) {
+        schedule_flush();
+    }
 }
 
 void load_feed::send_report(const node_id& to, const gateway::load_table& sums,
@@ -209,11 +231,13 @@
         return;
     }
     const bool full = full_report_pending_.erase(to) > 0;
-    if (!full && backends.empty()) {
+    const bool request_full = full_report_wanted_.erase(to) > 0;
+    if (!full && !request_full && !keepalive_due_ && backends.empty()) {
         return;
     }
     auto out = report(to, sums, full ? sums.all() : backends);
     out.whole = full;
+    out.request_full = request_full;
     mesh_.send(to, out);
 }
 
@@ -256,19 +280,11 @@
     follow_attachments();
     const instant now = env_.now();
     drop_silent_hosts(now);
-    if (now < next_full_report_) {
-        return;
-    }
-    next_full_report_ = now + full_report_period;
-    if (!has_disk_) {
-        full_report_pending_ = {upstream_};
-    } else {
-        for (const auto& host : mesh_.linked()) {
-            if (mesh_.is_core(host) || around_.downstream_hosts.contains(host)) {
-                full_report_pending_.insert(host);
-            }
-        }
+    if (now >= next_keepalive_) {
+        next_keepalive_ = now + keepalive_period;
+        keepalive_due_ = true;
     }
+    // Also sends the rows that are due in rotation.
     schedule_flush();
 }
 
--- a/src/gateway/load_feed.h
+++ b/src/gateway/load_feed.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/load_balancer.h"
+#include "hickorypost/gateway/load_report_pacer.h"
 #include "hickorypost/gateway/load_table.h"
 #include "hickorypost/net/timer.h"
 
@@ -20,10 +21,10 @@
     std::vector<node_id> upstream_hosts;
 };
 
-/// Distributes the load that each host puts on each backend server, within milliseconds of a
-/// significant change. A host without a disk reports its load to the first of its upstream hosts. A
-/// host with a disk adds up the reports, sends the other hosts with a disk the sum of itself and
-/// its downstream hosts, and sends each downstream host the total of all other hosts.
+/// Distributes the load that each host puts on each backend server, soon after a significant
+/// change. A host without a disk reports its load to the first of its upstream hosts. A host with a
+/// disk adds up the reports, sends the other hosts with a disk the sum of itself and its downstream
+/// hosts, and sends each downstream host that reports to it the total of all other hosts.
 class load_feed {
 public:
     load_feed(runtime& env, peer_mesh& mesh, gateway::load_balancer& balancer, bool has_disk,
@@ -37,8 +38,13 @@
     [[nodiscard]] bool is_complete() const;
     void take_report(const node_id& from, const wire::load_report& report);
     void on_host_gone(const node_id& host);
-    /// Makes the next report to `host` a full one. Call when `host` has begun to receive reports.
+    /// Makes the next report to `host` a full one. Call when a link to a host with a disk is up.
     void require_full_report(const node_id& host);
+    /// Whether `host` reports its load to this host.
+    [[nodiscard]] bool is_reporting(const node_id& host) const
+    {
+        return last_reports_.contains(host);
+    }
     /// Call after each change of `attachments`, and about ten times a second.
     void follow_attachments();
     void tick();
@@ -52,6 +58,9 @@
     void apply_full_report(const node_id& from, const load_map& loads);
     void schedule_flush();
     void flush();
+    /// Returns the backend servers whose load is to be reported now.
+    static std::vector<std::string> take_due(gateway::load_table& sums,
+                                             gateway::load_report_pacer& pacer, instant now);
     /// Sends `to` the load on `backends`, or on all backend servers if a full report is due.
     void send_report(const node_id& to, const gateway::load_table& sums,
                      const std::vector<std::string>& backends);
@@ -68,14 +77,17 @@
     load_map own_;                   ///< load of this host
     gateway::load_table local_load_; ///< load of this host and its downstream hosts
     gateway::load_table total_load_; ///< load of all hosts; empty on a host without a disk
+    gateway::load_report_pacer local_pacer_;
+    gateway::load_report_pacer total_pacer_;
     /// Backend servers on which the balancer knows of load from other hosts. Used by a host without
     /// a disk.
     std::set<std::string> remotely_loaded_backends_;
     std::map<node_id, instant> last_reports_; ///< time of the last report of each host
     std::set<node_id> full_report_pending_;   ///< hosts whose next report must be a full one
+    std::set<node_id> full_report_wanted_;    ///< hosts to be asked for a full report
     node_id upstream_; ///< upstream host to which a host without a disk reports; empty: none
-    instant next_full_report_;
-    instant last_flush_;
+    instant next_keepalive_;
+    bool keepalive_due_ = false;
     net::timer flush_timer_;
 };
 
