[gateway] Batches of heartbeats reach an attached host from one host only

Cause: an attached host got each batch from both hosts with a disk that it is attached to, 670 heartbeats in 2 s twice. Change: batches go only to hosts that report their load to the sender. News (new, draining and gone backend servers) still comes from both. A heartbeat missed while that host is replaced is followed by the next one within 6 s, after which a backend server would count as silent.

--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -378,9 +378,15 @@
             update.touches.push_back({id, sequence});
         }
         // The batch also goes to the hosts that sent these heartbeats; repeated ones have no
-        // effect.
+        // effect. An attached host gets it only from the host to which it reports its load: a
+        // heartbeat that is missed while that host is replaced is followed by another one before
+        // the backend server counts as silent.
         if (!update.touches.empty()) {
-            broadcast(update, mesh_.self());
+            for (const auto& host : broadcast_targets(mesh_.self())) {
+                if (mesh_.is_core(host) || loads_.is_reporting(host)) {
+                    mesh_.send(host, update);
+                }
+            }
         }
     }
     loads_.tick();
