[gateway] Account shares are computed once a tick

Cause: each report of accounts' usage made a host with a disk list all its links and add up the usage of all hosts and accounts again: 45 reporting hosts, five times a second, times 45 hosts and up to 333 accounts.

--- a/src/gateway/usage_feed.cpp
+++ b/src/gateway/usage_feed.cpp
@@ -34,9 +34,12 @@
     for (const auto& row : report.rows) {
         decoded.rows.push_back({row.account, {row.ms_per_s, row.recent_ms_per_s}});
     }
-    update_peers();
-    if (table_.take(from, decoded, env_.now())) {
-        update_shares();
+    // The peers are those of the last tick, without a host that has attached since. The shares
+    // follow at the next tick: their cost for each report would grow with the hosts times the
+    // accounts.
+    if (!table_.take(from, decoded, env_.now())) {
+        update_peers();
+        table_.take(from, decoded, env_.now());
     }
 }
 
