[gateway] Hosts fetch a changed control state within their failure domain

Cause: every host asked the first host that announced a new revision, the leader, which sent each change to all hosts, most of them in other failure domains, where bytes are priced. Change: state_fetch asks a host in the own domain; one in another only if the own domain has none, lags for 100 ms or does not answer in 400 ms.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -30,10 +30,6 @@
 constexpr std::uint64_t snapshot_every = 64;
 /// Period of core notes, which tell other hosts the leader, the newest revision and the core hosts.
 constexpr millis note_period{1000};
-/// A revision is queried again after this long, because the response may have been lost with a link
-/// or the queried host may have lost the state. A query for each received note would transfer the
-/// same state several times.
-constexpr millis query_retry_period{400};
 /// A host whose state no leader confirms for this long after the start serves with the state that
 /// it has: the loss of the control log's quorum must not stop requests.
 constexpr millis sync_timeout{4000};
@@ -317,6 +313,9 @@
             send_notes();
         }
     }
+    if (!group_) {
+        fetch_state();
+    }
     retry_orders();
     for (const auto& host :
          state_requests_.take_due([this](const node_id& it) { return mesh_.congested(it); })) {
@@ -390,12 +389,24 @@
         leader_ = msg.leader;
         leader_term_ = msg.term;
     }
-    const instant now = now_();
-    if (msg.revision > std::max(state_.revision, queried_revision_) ||
-        (msg.revision > state_.revision && now > next_query_)) {
-        next_query_ = now + query_retry_period;
-        queried_revision_ = msg.revision;
-        mesh_.send(from, wire::site_query{state_.revision});
+    state_fetch_.announced(from, is_local(from), msg.revision);
+    fetch_state();
+}
+
+bool control_plane::is_local(const node_id& host) const
+{
+    const auto it = mesh_.core().find(host);
+    return it != mesh_.core().end() && it->second == env_.config.node.failure_domain;
+}
+
+void control_plane::fetch_state()
+{
+    const bool has_local =
+        std::any_of(mesh_.core().begin(), mesh_.core().end(), [this](const auto& it) {
+            return is_local(it.first) && mesh_.link_to(it.first) != nullptr;
+        });
+    if (const auto host = state_fetch_.take_due(state_.revision, has_local, now_())) {
+        mesh_.send(*host, wire::site_query{state_.revision});
     }
 }
 
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -4,6 +4,7 @@
 #include "hickorypost/gateway/control_state.h"
 #include "hickorypost/gateway/order_progress.h"
 #include "hickorypost/gateway/rollout_judge.h"
+#include "hickorypost/gateway/state_fetch.h"
 #include "hickorypost/gateway/state_requests.h"
 #include "hickorypost/net/timer.h"
 #include "hickorypost/replog/group.h"
@@ -116,6 +117,10 @@
     void send_note(const node_id& to);
     void handle_query(const node_id& from, const wire::site_query& msg);
     void send_state(const node_id& to);
+    /// Asks another host for the newest state if this one has an older one.
+    void fetch_state();
+    /// Whether a core host is in this host's failure domain.
+    [[nodiscard]] bool is_local(const node_id& host) const;
     void handle_note(const node_id& from, const wire::core_status& msg);
     [[nodiscard]] wire::core_status note() const;
 
@@ -146,8 +151,7 @@
     std::uint64_t leader_term_ = 0;
     std::map<node_id, wire::core_status> notes_; ///< last note of each linked core host
     std::size_t reported_hosts_ = 1;             ///< from the last note of a core host
-    instant next_query_;
-    std::uint64_t queried_revision_ = 0;     ///< highest revision that was queried
+    gateway::state_fetch state_fetch_{{}};
     gateway::state_requests state_requests_; ///< of hosts whose links are congested
 
     std::map<std::uint64_t, pending_order> orders_;
