--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -57,6 +57,10 @@
     account_usage = 75,
 };
 
+/// Name of a message type in metrics and logs. Types that gateway hosts do not exchange have their
+/// number as name.
+[[nodiscard]] std::string name_of(message_type type);
+
 inline constexpr std::uint32_t protocol_oldest = 1;
 inline constexpr std::uint32_t protocol_newest = 1;
 
@@ -430,7 +434,8 @@
 struct load_report {
     static constexpr auto type = message_type::load_report;
     std::vector<backend_load> loads;
-    bool whole = false; ///< true: the complete load; false: only the changed entries
+    bool whole = false;        ///< true: the complete load; false: only some entries
+    bool request_full = false; ///< the receiver shall answer with a complete report
 };
 
 struct account_rate {
--- a/src/gateway/backend_feed.cpp
+++ b/src/gateway/backend_feed.cpp
@@ -293,6 +293,7 @@
 {
     if (has_disk_ && mesh_.is_core(host)) {
         send_full_state(host);
+        loads_.require_full_report(host);
     }
     update_attachments();
 }
@@ -315,7 +316,6 @@
             loads_.on_host_gone(from);
             usage_.on_host_gone(from);
             if (decoded->on) {
-                loads_.require_full_report(from);
                 attachments_.downstream_hosts.insert(from);
                 send_full_state(from);
             }
@@ -378,9 +378,15 @@
             update.touches.push_back({id, sequence});
         }
         // The batch also goes to the hosts that sent these heartbeats; repeated ones have no
-        // effect.
+        // effect. An attached host gets it only from the host to which it reports its load: a
+        // heartbeat that is missed while that host is replaced is followed by another one before
+        // the backend server counts as silent.
         if (!update.touches.empty()) {
-            broadcast(update, mesh_.self());
+            for (const auto& host : broadcast_targets(mesh_.self())) {
+                if (mesh_.is_core(host) || loads_.is_reporting(host)) {
+                    mesh_.send(host, update);
+                }
+            }
         }
     }
     loads_.tick();
