[scheduling] The pacer of load reports moves out of modules/gateway

Change: file moves, namespace; its model with the load table stays with the gateway's tests. Result: the same tests pass.

--- a/modules/gateway/include/hickorypost/gateway/load_table.h
+++ b/modules/gateway/include/hickorypost/gateway/load_table.h
@@ -26,11 +26,11 @@
 /// The load of each gateway process on each backend server. Determines which totals have changed
 /// enough to be reported to other processes. Connections are not summed. Performs no I/O.
 ///
-/// Changes are reported immediately, because a prompt of 30,000 tokens occupies an engine for a
-/// second and processes that learn of it 200 ms late send their requests to the same engine. With
-/// reports that late, 1,919 of 18,000 first events came more than 300 ms later than expected, and
-/// all but 98 of these had waited behind such a prompt. Changes too
-/// small to affect placement are not reported.
+/// Significant changes do not wait for a period, because a prompt of 30,000 tokens occupies an
+/// engine for a second and processes that learn of it 200 ms late send their requests to the same
+/// engine. With reports that late, 1,919 of 18,000 first events came more than 300 ms later than
+/// expected, and all but 98 of these had waited behind such a prompt. Changes too small to affect
+/// placement are not reported.
 class load_table {
 public:
     explicit load_table(load_table_settings settings) : settings_{settings} {}
--- a/modules/gateway/include/hickorypost/gateway/load_report_pacer.h
+++ b/modules/scheduling/include/hickorypost/scheduling/load_report_pacer.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace hickorypost::gateway {
+namespace hickorypost::scheduling {
 
 struct load_report_settings {
     /// Interval between reports for up to `precise_backends` loaded backend servers. It grows in
@@ -51,4 +51,4 @@
     double rotated_rows_ = 0;
 };
 
-} // namespace hickorypost::gateway
+} // namespace hickorypost::scheduling
--- a/modules/gateway/src/load_report_pacer.cpp
+++ b/modules/scheduling/src/load_report_pacer.cpp
@@ -1,8 +1,8 @@
-#include "hickorypost/gateway/load_report_pacer.h"
+#include "hickorypost/scheduling/load_report_pacer.h"
 
 #include <algorithm>
 
-namespace hickorypost::gateway {
+namespace hickorypost::scheduling {
 
 millis load_report_pacer::wait(std::size_t backends, instant now) const
 {
@@ -37,4 +37,4 @@
     changed_rows_ -= static_cast<double>(changed_rows);
 }
 
-} // namespace hickorypost::gateway
+} // namespace hickorypost::scheduling
--- a/src/gateway/load_feed.cpp
+++ b/src/gateway/load_feed.cpp
@@ -189,7 +189,7 @@
 }
 
 std::vector<std::string> load_feed::take_due(gateway::load_table& sums,
-                                             gateway::load_report_pacer& pacer, instant now)
+                                             scheduling::load_report_pacer& pacer, instant now)
 {
     const auto limit = pacer.begin_report(sums.size(), now);
     auto out = sums.take_changed(limit.changed);
--- a/src/gateway/load_feed.h
+++ b/src/gateway/load_feed.h
@@ -2,9 +2,9 @@
 
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/load_balancer.h"
-#include "hickorypost/gateway/load_report_pacer.h"
 #include "hickorypost/gateway/load_table.h"
 #include "hickorypost/net/timer.h"
+#include "hickorypost/scheduling/load_report_pacer.h"
 
 #include <map>
 #include <set>
@@ -60,7 +60,7 @@
     void flush();
     /// Returns the backend servers whose load is to be reported now.
     static std::vector<std::string> take_due(gateway::load_table& sums,
-                                             gateway::load_report_pacer& pacer, instant now);
+                                             scheduling::load_report_pacer& pacer, instant now);
     /// Sends `to` the load on `backends`, or on all backend servers if a full report is due.
     void send_report(const node_id& to, const gateway::load_table& sums,
                      const std::vector<std::string>& backends);
@@ -77,8 +77,8 @@
     load_map own_;                   ///< load of this host
     gateway::load_table local_load_; ///< load of this host and its downstream hosts
     gateway::load_table total_load_; ///< load of all hosts; empty on a host without a disk
-    gateway::load_report_pacer local_pacer_;
-    gateway::load_report_pacer total_pacer_;
+    scheduling::load_report_pacer local_pacer_;
+    scheduling::load_report_pacer total_pacer_;
     /// Backend servers on which the balancer knows of load from other hosts. Used by a host without
     /// a disk.
     std::set<std::string> remotely_loaded_backends_;
