--- /dev/null
+++ b/review/4/case.py
@@ -0,0 +1,82 @@
+"""The machines that the seeds name are lost, and all processes of the core are killed once.
+
+All machines with a disk are back within a second with their disks, but none of them finds the
+others: each dials only the seeds that its settings name, not the members of its group that its disk
+names. No configuration can be read or changed until a seed is back.
+"""
+
+import os
+import pathlib
+import sys
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common"))
+
+from peers import Operator, Replica, call  # noqa: E402
+from site_hosts import Record, Site  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+RECOVERY_S = 12.0  # bound RecoveryS
+CONTACT_S = 3.0  # bound ContactMs
+READ_S = 20.0  # the operator reads for much longer than ContactMs
+
+
+def main():
+    record = Record(FOLDER)
+    site = Site(disks=3, plain=4)
+    operator = Operator(record, site)
+    now = time.monotonic
+    replicas = []
+    try:
+        core, plain = site.hosts[:3], site.hosts[3:]
+        seeds = plain[:3]
+        for host in site.hosts:
+            host.start(True, seeds)
+        for version in (10, 20):
+            if not operator.put(version, site.hosts, 20, now):
+                record("no acknowledgement before the disruption")
+                return 2
+        replicas = [Replica(record, f"i-app{n}", "app") for n in (1, 2)]
+        for it in replicas:
+            it.start_beats([host.control for host in site.hosts])
+        time.sleep(5.0)
+        if TROUBLE:
+            for host in plain:
+                host.kill()
+            record("lost: " + ", ".join(it.name for it in plain) + ", none of which has a disk")
+            time.sleep(CONTACT_S + 1.0)
+            for host in core:
+                reads = operator.get(host)
+                record(f"operator: GET at {host.name}: {reads[0]}, version {reads[1]}")
+            for host in core:
+                host.kill()
+            for host in core:
+                host.start(False, seeds)
+            record("all processes of the core killed and started again, disks preserved")
+        time.sleep(RECOVERY_S)
+        up = [it for it in site.hosts if it.process]
+        good, last, end = 0, {}, now() + READ_S
+        while now() < end:
+            for host in up:
+                status, version = operator.get(host)
+                if last.get(host.name) != (status, version):
+                    record(f"operator: GET at {host.name}: {status}, version {version}")
+                    last[host.name] = (status, version)
+                good += status == 200 and version == 20
+            time.sleep(0.5)
+        record(f"the configuration was read {good} times in {READ_S:.0f} s")
+        operator.put(30, up, 5.0, now)
+        record("the rule held" if good else "the rule was broken: the configuration doesn't come")
+        return 0 if good else 1
+    finally:
+        for it in replicas:
+            it.exit()
+        if os.environ.get("KEEP_LOGS"):
+            for host in site.hosts:
+                print(f"--- {host.name}\n" + host.log.read_text())
+        site.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
