--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,7 @@
 
 def main():
     record = Record(FOLDER)
-    site = Site(disks=3, plain=1)
+    site = Site(disks=3, plain=4)
     operator = Operator(record, site)
     now = time.monotonic
     try:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -90,7 +90,7 @@
 
 def main():
     record = Record(FOLDER)
-    site = Site(disks=3, plain=1)
+    site = Site(disks=3, plain=4)
     operator = Operator(record, site)
     now = time.monotonic
     replicas = []
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 def leader_of(site):
     """The host that the logs name as the leader of the newest term."""
     found, newest = None, -1
-    for host in site.hosts[:3]:
+    for host in site.hosts[:4]:
         for line in host.log.read_text(errors="replace").splitlines():
             if "leader of the control log in term " in line:
                 term, name = line.split("in term ")[1].split('"')[0].split(": ")
@@ -49,12 +49,12 @@
 
 def main():
     record = Record(FOLDER)
-    site = Site(disks=3, plain=2)
+    site = Site(disks=4, plain=4)
     operator = Operator(record, site)
     now = time.monotonic
     try:
         seeds = site.hosts[:3]
-        victim, other = site.hosts[3], site.hosts[4]
+        victim, other = site.hosts[4], site.hosts[5]
         for host in site.hosts:
             host.start(True, seeds)
         version = 10
