[control plane] A host with a lost disk never founds a control log

Cause: an empty disk and silence counted as proof that no group exists. Without first_start the founder only waited 3 s longer.

The decision moves from control_plane into gateway::group_founding, which performs no I/O. An empty disk at a later start waits for the members of the group.

--- a/modules/replog/include/hickorypost/replog/replica_store.h
+++ b/modules/replog/include/hickorypost/replog/replica_store.h
@@ -14,9 +14,11 @@
 class replica_store {
 public:
     /// Opens or creates the files whose names begin with `prefix`. A disk without an identity file
-    /// gets a random identity.
-    static result<std::unique_ptr<replica_store>> open(storage::file_system& fs, std::string prefix,
-                                                       node_id self, const random_fn& random);
+    /// gets a random identity. `first_start_seeds`: set if the system starts for the first time;
+    /// stored with the identity and kept from then on.
+    static result<std::unique_ptr<replica_store>>
+    open(storage::file_system& fs, std::string prefix, node_id self, const random_fn& random,
+         std::optional<std::vector<node_id>> first_start_seeds = std::nullopt);
 
     /// Returns the state that was read when the store was opened. Must be called at most once.
     recovered_state take_recovered() { return std::move(recovered_); }
@@ -27,7 +29,8 @@
 
 private:
     replica_store(storage::file_system& fs, std::string prefix);
-    result<void> load_identity(node_id self, const random_fn& random);
+    result<void> load_identity(node_id self, const random_fn& random,
+                               std::optional<std::vector<node_id>> first_start_seeds);
     result<void> load_snapshot();
     result<void> load_journal();
     void replay(std::string_view payload);
--- a/modules/replog/include/hickorypost/replog/types.h
+++ b/modules/replog/include/hickorypost/replog/types.h
@@ -58,6 +58,8 @@
     hard_state hard;
     std::optional<snapshot> base; ///< empty if this disk was never part of the group
     std::vector<entry> entries;   ///< entries after `base`
+    /// Seeds of the system's first start; not set if this disk did not take part in it.
+    std::optional<std::vector<node_id>> first_start_seeds;
 };
 
 /// Kinds of `message`.
--- a/modules/replog/src/replica_store.cpp
+++ b/modules/replog/src/replica_store.cpp
@@ -10,6 +10,7 @@
 
 struct identity_file {
     std::uint64_t disk = 0;
+    std::optional<std::vector<node_id>> first_start_seeds;
 };
 
 struct snapshot_file {
@@ -43,33 +44,43 @@
 {
 }
 
-result<std::unique_ptr<replica_store>> replica_store::open(storage::file_system& fs,
-                                                           std::string prefix, node_id self,
-                                                           const random_fn& random)
+result<std::unique_ptr<replica_store>>
+replica_store::open(storage::file_system& fs, std::string prefix, node_id self,
+                    const random_fn& random, std::optional<std::vector<node_id>> first_start_seeds)
 {
     std::unique_ptr<replica_store> out{new replica_store{fs, std::move(prefix)}};
-    BOOST_LEAF_CHECK(out->load_identity(std::move(self), random));
+    BOOST_LEAF_CHECK(out->load_identity(std::move(self), random, std::move(first_start_seeds)));
     BOOST_LEAF_CHECK(out->load_snapshot());
     BOOST_LEAF_CHECK(out->load_journal());
     out->recovered_.hard = out->hard_state_;
     return out;
 }
 
-result<void> replica_store::load_identity(node_id self, const random_fn& random)
+result<void> replica_store::load_identity(node_id self, const random_fn& random,
+                                          std::optional<std::vector<node_id>> first_start_seeds)
 {
     const std::string name = prefix_ + "identity";
-    recovered_.self.node = std::move(self);
+    identity_file file;
     BOOST_LEAF_AUTO(known, exists(*fs_, name));
-    if (!known) {
-        recovered_.self.disk = random();
-        return storage::replace_file(*fs_, name, wire::encode(identity_file{recovered_.self.disk}));
+    if (known) {
+        BOOST_LEAF_AUTO(bytes, fs_->read_file(name));
+        const auto decoded = wire::try_decode<identity_file>(bytes);
+        if (!decoded) {
+            return damaged(name, "identity file cannot be decoded");
+        }
+        file = *decoded;
+    } else {
+        file.disk = random();
     }
-    BOOST_LEAF_AUTO(bytes, fs_->read_file(name));
-    const auto file = wire::try_decode<identity_file>(bytes);
-    if (!file) {
-        return damaged(name, "identity file cannot be decoded");
+    const bool joins_first_start = !file.first_start_seeds && first_start_seeds;
+    if (joins_first_start) {
+        file.first_start_seeds = std::move(first_start_seeds);
+    }
+    if (!known || joins_first_start) {
+        BOOST_LEAF_CHECK(storage::replace_file(*fs_, name, wire::encode(file)));
     }
-    recovered_.self.disk = file->disk;
+    recovered_.self = {std::move(self), file.disk};
+    recovered_.first_start_seeds = std::move(file.first_start_seeds);
     return {};
 }
 
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -35,19 +35,14 @@
 constexpr millis sync_timeout{4000};
 /// Delay before a data directory that failed is opened again.
 constexpr millis reopen_delay{500};
-/// The founder of a new replication group waits this long for as many hosts with a disk as the
-/// configured failure tolerance requires, then founds the group with those that are present.
-constexpr millis founding_timeout{6000};
-/// A restarted host without a replica waits this long for an existing group to contact it before it
-/// may found a new one.
-constexpr millis restart_founding_delay{3000};
 
 } // namespace
 
 control_plane::control_plane(runtime& env, peer_mesh& mesh, control_hooks hooks)
     : env_{env}, config_{*env.config.gateway}, mesh_{mesh}, hooks_{std::move(hooks)},
       now_{boot_clock_fn()}, context_{g_main_context_default()},
-      judge_{config_.decisions.judge, [this](const gateway::rollout_status& next) {
+      judge_{config_.decisions.judge,
+             [this](const gateway::rollout_status& next) {
                  env_.log->info("roll-out of {} to {}: share {} permille, phase {}, {}",
                                 next.service, next.target, next.share_permille,
                                 static_cast<int>(next.phase), next.reason);
@@ -77,8 +72,19 @@
     const bool opened = value_or_handle<storage::storage_error>(
         [&]() -> result<bool> {
             BOOST_LEAF_ASSIGN(fs_, storage::posix_file_system::open(config_.data));
-            BOOST_LEAF_AUTO(
-                store, replog::replica_store::open(*fs_, "control-", mesh_.self(), env_.random));
+            BOOST_LEAF_AUTO(store,
+                            replog::replica_store::open(
+                                *fs_, "control-", mesh_.self(), env_.random,
+                                config_.first_start ? std::optional{config_.seeds} : std::nullopt));
+            auto recovered = store->take_recovered();
+            if (!recovered.base && !recovered.first_start_seeds) {
+                env_.log->warn("empty data directory without first_start: waiting for the members "
+                               "of the control log");
+            }
+            founding_.emplace(
+                gateway::founding_settings{mesh_.self(), env_.config.node.failure_domain,
+                                           config_.tolerated_losses, recovered.first_start_seeds},
+                started_);
             replog::replica_options options;
             options.heartbeat = replog_heartbeat;
             options.election_min = election_min;
@@ -89,7 +95,7 @@
             options.admit_any_host = true;
             options.replace_silent_after = voter_replacement_timeout;
             auto core = std::make_unique<replog::replica>(
-                store->take_recovered(), std::vector<node_id>{}, options, env_.random, now_());
+                std::move(recovered), std::vector<node_id>{}, options, env_.random, now_());
             const std::uint64_t generation = ++disk_generation_;
             const auto current = [this, generation] {
                 return generation == disk_generation_ && group_ != nullptr;
@@ -249,46 +255,15 @@
     for (const auto& [host, domain] : mesh_.core()) {
         core.add_contact(host);
     }
-    const instant now = now_();
-    if (core.group_exists() || (!config_.first_start && now < started_ + restart_founding_delay)) {
-        return;
-    }
-    // The founder is the first seed that has a disk. Whether a seed has one never changes, so at
-    // most one host considers itself the founder.
-    node_id founder;
-    for (const auto& seed : config_.seeds) {
-        if (mesh_.is_core(seed)) {
-            founder = seed;
-            break;
-        }
-        if (mesh_.link_to(seed) == nullptr) {
-            return; // not connected yet; this seed may have a disk
-        }
-    }
-    if (founder.empty()) {
-        founder = mesh_.core().begin()->first;
-    }
-    if (founder != mesh_.self()) {
-        return;
-    }
-    const std::size_t voters = 2 * config_.tolerated_losses + 1;
-    if (mesh_.core().size() < voters && now < started_ + founding_timeout) {
+    if (core.group_exists()) {
         return;
     }
-    std::vector<node_id> founders{mesh_.self()};
-    std::set<std::string> domains{env_.config.node.failure_domain};
-    // Voters are first chosen from distinct failure domains, then from any.
-    for (const bool new_domains : {true, false}) {
-        for (const auto& [host, domain] : mesh_.core()) {
-            const bool chosen = std::find(founders.begin(), founders.end(), host) != founders.end();
-            const bool fits = !new_domains || !domains.contains(domain);
-            if (founders.size() < voters && !chosen && fits) {
-                founders.push_back(host);
-                domains.insert(domain);
-            }
-        }
+    auto founders = founding_->founders(
+        mesh_.core(), [this](const node_id& host) { return mesh_.link_to(host) != nullptr; },
+        now_());
+    if (!founders.empty()) {
+        core.set_founders(std::move(founders));
     }
-    core.set_founders(std::move(founders));
 }
 
 void control_plane::tick()
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_mesh.h"
 #include "hickorypost/gateway/control_state.h"
+#include "hickorypost/gateway/group_founding.h"
 #include "hickorypost/gateway/order_progress.h"
 #include "hickorypost/gateway/rollout_judge.h"
 #include "hickorypost/gateway/state_fetch.h"
@@ -134,6 +135,7 @@
     std::unique_ptr<storage::posix_file_system> fs_;
     std::unique_ptr<replog::sync_task> sync_task_;
     std::unique_ptr<replog::group> group_;
+    std::optional<gateway::group_founding> founding_; ///< set while the disk is open
     std::uint64_t disk_generation_ = 0; ///< tells completions of earlier openings of the disk apart
     instant next_reopen_;
 
--- a/src/settings_table.cpp
+++ b/src/settings_table.cpp
@@ -168,7 +168,10 @@
          "not "
          "used. At the first start the first of them with a disk founds the control log."},
         {"gateway", "first_start", choice, "false", false,
-         "The whole system starts for the first time, with empty disks.", "true|false"},
+         "The whole system starts for the first time, with empty disks. Only a disk of such a "
+         "start "
+         "founds the control log; a host that starts later with an empty disk joins it.",
+         "true|false"},
         {"gateway",
          "tolerated_losses",
          integer,
