[control plane] Replies to a previous process match no order

In the same way the reply to the previous process's read confirmed the new process's empty state as the newest.

Cause: orders were numbered from 1 in each process, and a reply is matched by that number alone. The numbers now start at a random 64-bit number, which the leader echoes.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -48,7 +48,8 @@
                                 static_cast<int>(next.phase), next.reason);
                  commit({gateway::control_kind::step_rollout, 0, {}, next},
                         [](order_status, const gateway::site_state*) {});
-             }}
+             }},
+      next_order_{env.random()}
 {
 }
 
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -157,7 +157,9 @@
     gateway::state_requests state_requests_; ///< of hosts whose links are congested
 
     std::map<std::uint64_t, pending_order> orders_;
-    std::uint64_t next_order_ = 1;
+    /// Starts at a random number, so that the leader's reply to an order of a previous process at
+    /// this address matches no order of this one.
+    std::uint64_t next_order_;
     net::timer tick_timer_;
 };
 
