[net] A reset that a write finds is no orderly end

Cause: the kernel reports the error of a connection once. The failing send took it and dropped it, and the following recv returned 0, which ends an answer without a length. tcp_stream now remembers that a write found the connection broken. EPIPE does not count, as it follows an orderly end.

--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -82,6 +82,7 @@
     void guarded(const std::function<void()>& body);
     void take_events(std::uint32_t events);
     void write_out();
+    void note_send_error(int error);
     void read_all();
     void end(stream_end how);
     void release();
@@ -97,6 +98,7 @@
     bool peer_closed_ = false;
     bool blocked_ = false;
     bool sent_any_ = false;
+    bool broken_ = false;   ///< a write found the connection reset or timed out
     int connect_error_ = 0; ///< errno of the call that began to connect
     /// Set while hooks run, so that a destroyed stream is noticed.
     bool* destroyed_ = nullptr;
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -167,7 +167,7 @@
         }
         blocked_ = n < 0 && errno == EAGAIN;
         if (!blocked_) {
-            // The reading side tells how the stream ended; unsent bytes have nowhere to go.
+            note_send_error(errno);
             out_.clear();
         }
         return;
@@ -179,6 +179,13 @@
     }
 }
 
+void tcp_stream::note_send_error(int error)
+{
+    // The kernel reports the error of a connection only once, here or in `recv`. EPIPE is no such
+    // error: it follows the peer's orderly end, or an error that has been reported before.
+    broken_ = broken_ || error != EPIPE;
+}
+
 void tcp_stream::close()
 {
     set_hooks({});
@@ -299,7 +306,7 @@
             readable_ = false;
             return;
         }
-        end(n == 0 ? stream_end::finished : stream_end::failed);
+        end(n == 0 && !broken_ ? stream_end::finished : stream_end::failed);
         return;
     }
 }
--- /dev/null
+++ b/modules/net/tests/tcp_stream_test.cpp
@@ -0,0 +1,120 @@
+#include "hickorypost/net/tcp_stream.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace {
+
+using namespace hickorypost;
+
+void run_main_loop()
+{
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+}
+
+/// A stream over TCP on the loopback interface whose peer is a plain socket.
+struct stream_to_socket {
+    stream_to_socket()
+    {
+        const auto listener = net::tcp_listener::open(poller, *net::endpoint::parse("127.0.0.1:0"),
+                                                      [this](int fd) { peer = fd; });
+        stream = net::tcp_stream::connect(
+            poller, *net::endpoint::parse("127.0.0.1:" + std::to_string(listener->port())),
+            millis{5000});
+        net::tcp_stream::hooks hooks;
+        hooks.bytes = [this](std::string_view bytes) { received += bytes; };
+        hooks.ended = [this](net::stream_end how) { end = how; };
+        stream->set_hooks(std::move(hooks));
+        run_main_loop();
+        BOOST_REQUIRE(peer >= 0);
+    }
+    ~stream_to_socket()
+    {
+        if (peer >= 0) {
+            ::close(peer);
+        }
+    }
+    stream_to_socket(const stream_to_socket&) = delete;
+    stream_to_socket& operator=(const stream_to_socket&) = delete;
+
+    /// Writes until the kernel takes no more, as the peer does not read.
+    void fill()
+    {
+        const std::string block(std::size_t{1} << 20U, 'x');
+        while (stream->unsent() == 0) {
+            stream->write(block);
+            stream->write_now();
+        }
+        run_main_loop();
+    }
+    void send_from_peer(std::string_view bytes) const
+    {
+        BOOST_REQUIRE(::send(peer, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+    void close_peer() { ::close(std::exchange(peer, -1)); }
+
+    net::poller poller;
+    int peer = -1;
+    std::unique_ptr<net::tcp_stream> stream;
+    std::string received;
+    std::optional<net::stream_end> end;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tcp_stream_suite)
+
+// Guards against taking a reset for an orderly end because a failing send consumed its error, after
+// which part of a body without a length looks complete.
+BOOST_AUTO_TEST_CASE(reset_while_bytes_are_unsent_is_a_failure)
+{
+    stream_to_socket it;
+    it.fill();
+    it.send_from_peer("half");
+    it.close_peer(); // with unread bytes, so the kernel resets the connection
+    run_main_loop();
+    BOOST_TEST(it.received == "half");
+    BOOST_TEST((it.end == net::stream_end::failed));
+}
+
+// Guards against the same while reading is paused, when only a later write reaches the socket.
+BOOST_AUTO_TEST_CASE(reset_found_by_a_write_while_reading_is_paused_is_a_failure)
+{
+    stream_to_socket it;
+    it.stream->write("request");
+    run_main_loop();
+    it.stream->set_reading(false);
+    it.send_from_peer("half");
+    it.close_peer();
+    it.stream->write("more");
+    it.stream->write_now();
+    it.stream->set_reading(true);
+    run_main_loop();
+    BOOST_TEST(it.received == "half");
+    BOOST_TEST((it.end == net::stream_end::failed));
+}
+
+// Guards against rejecting a complete answer because the peer resets the rest of the request only
+// after its orderly end.
+BOOST_AUTO_TEST_CASE(reset_after_the_orderly_end_is_no_failure)
+{
+    stream_to_socket it;
+    it.send_from_peer("whole");
+    it.close_peer(); // everything read: the kernel sends FIN, and RST once bytes arrive
+    it.stream->write("more");
+    it.stream->write_now();
+    it.stream->write("still more");
+    it.stream->write_now();
+    run_main_loop();
+    BOOST_TEST(it.received == "whole");
+    BOOST_TEST((it.end == net::stream_end::finished));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -33,10 +33,10 @@
                       {}};
     std::unique_ptr<gateway::attempt> request = start_request();
 
-    std::unique_ptr<gateway::attempt> start_request()
+    std::unique_ptr<gateway::attempt> start_request(std::string_view body = {})
     {
         return pool.start({"i-1", "127.0.0.1:" + std::to_string(server.address().port), "app", 0},
-                          "GET / HTTP/1.1\r\n\r\n", {}, false, *this);
+                          "GET / HTTP/1.1\r\n\r\n", body, false, *this);
     }
 };
 
@@ -86,4 +86,25 @@
     ::close(peer);
 }
 
+// Guards against half of an answer that passes for a complete one because its connection was reset
+// while the request was still being sent.
+BOOST_AUTO_TEST_CASE(answer_without_a_length_is_incomplete_after_a_reset)
+{
+    constexpr std::string_view half = "HTTP/1.1 200 OK\r\n\r\nhalf";
+    const std::string body(std::size_t{16} << 20U, 'x'); // more than the kernel takes at once
+    pool_fixture it;
+    run_main_loop();
+    BOOST_REQUIRE(!it.server.receive().empty()); // the request of the fixture
+    it.fault.reset();
+    it.request = it.start_request(body);
+    run_main_loop();
+    const int peer = it.server.accept();
+    BOOST_REQUIRE(::send(peer, half.data(), half.size(), MSG_NOSIGNAL) > 0);
+    ::close(peer); // with unread bytes, so the kernel resets the connection
+    run_main_loop();
+    BOOST_TEST(it.completed == 0U);
+    BOOST_REQUIRE(it.fault.has_value());
+    BOOST_TEST((*it.fault == gateway::attempt_fault::broken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
