[http1] Frame bodies here, so that no split or line ends or hangs a host

Cause: Beast's parser keeps its search position in a chunked body across calls and asserts what a split does not hold, has no limit for chunk lines and trailers, and searches a line again with each call.

Beast now reads heads only, each in one piece. head_scanner finds a head's end, chunk_decoder frames chunked bodies with limits of their own; both look at each byte once. Messages that can be framed in two ways are malformed.

--- a/modules/http1/include/hickorypost/http1/message.h
+++ b/modules/http1/include/hickorypost/http1/message.h
@@ -24,6 +24,8 @@
     /// The value as a whole decimal number.
     [[nodiscard]] std::optional<std::int64_t> number(std::string_view name) const;
     void add(std::string_view name, std::string_view value);
+    /// Prepares for `n` fields in all.
+    void reserve(std::size_t n) { fields_.reserve(n); }
     void remove(std::string_view name);
     /// Removes what concerns only one connection: the standard hop-by-hop fields, and those that
     /// `Connection` names.
--- a/modules/http1/include/hickorypost/http1/parser.h
+++ b/modules/http1/include/hickorypost/http1/parser.h
@@ -2,18 +2,20 @@
 
 #include "hickorypost/http1/message.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
 namespace hickorypost::http1 {
 
 struct parse_limits {
-    std::uint32_t head_bytes = 16U << 10U;
+    std::uint32_t head_bytes = 16U << 10U; ///< also of the trailers of a chunked body
     std::uint64_t body_bytes = std::uint64_t{4} << 20U;
 };
 
-/// Cuts the bytes of one connection into requests, one after the other. Sans I/O, on Boost.Beast's
-/// parser, which refuses the ambiguous framings that request smuggling needs.
+/// Cuts the bytes of one connection into requests, one after the other. Performs no I/O. Refuses
+/// ambiguous framings, which request smuggling needs.
 class request_parser {
 public:
     explicit request_parser(parse_limits limits);
@@ -34,10 +36,11 @@
     [[nodiscard]] parse_fault fault() const noexcept;
     [[nodiscard]] request_head& head() noexcept;
     [[nodiscard]] std::string& body() noexcept;
+    /// Bytes that have been pushed and not been parsed yet.
+    [[nodiscard]] std::size_t buffered() const noexcept { return buffer_.size(); }
 
 private:
     struct state;
-    void parse();
 
     parse_limits limits_;
     std::string buffer_;
@@ -70,7 +73,6 @@
 
 private:
     struct state;
-    void parse();
 
     std::string buffer_;
     std::unique_ptr<state> state_;
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -1,7 +1,13 @@
 #include "hickorypost/http1/parser.h"
 
+#include "characters_priv.h"
+#include "head_scanner.h"
+#include "hickorypost/http1/chunk_decoder.h"
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <limits>
 #include <utility>
 
 namespace hickorypost::http1 {
@@ -20,24 +26,12 @@
     return {text.data(), text.size()};
 }
 
-parse_fault fault_of(const error_code& ec)
-{
-    if (ec == http::error::header_limit) {
-        return parse_fault::head_too_large;
-    }
-    if (ec == http::error::body_limit) {
-        return parse_fault::body_too_large;
-    }
-    return ec == http::error::partial_message ? parse_fault::cut_short : parse_fault::malformed;
-}
-
-/// Collects what Beast's parser finds.
+/// Collects a head that Beast's parser reads. Its body is not parsed by Beast.
 template <bool is_request>
 class collector final : public http::basic_parser<is_request> {
 public:
     request_head request;
     response_head response;
-    std::string body;
 
 private:
     void on_request_impl(http::verb, view method, view target, int, error_code&) override
@@ -50,8 +44,18 @@
         response.status = static_cast<unsigned>(status);
         response.reason = plain(reason);
     }
-    void on_field_impl(http::field, view name, view value, error_code&) override
+    void on_field_impl(http::field which, view name, view value, error_code& ec) override
     {
+        // Another reader of the same message may find its end elsewhere if it is framed twice, or
+        // by a coding that this one does not know.
+        if (which == http::field::transfer_encoding &&
+            (std::exchange(has_coding_, true) || !equal_fold(plain(value), "chunked"))) {
+            ec = http::error::bad_transfer_encoding;
+        }
+        if (which == http::field::content_length &&
+            (std::exchange(has_length_, true) || !is_number(plain(value)))) {
+            ec = http::error::bad_content_length;
+        }
         (is_request ? request.fields : response.fields).add(plain(name), plain(value));
     }
     void on_header_impl(error_code&) override
@@ -71,49 +75,177 @@
         }
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
-    std::size_t on_body_impl(view bytes, error_code&) override { return append(bytes); }
+    std::size_t on_body_impl(view, error_code&) override { return 0; }
     void on_chunk_header_impl(std::uint64_t, view, error_code&) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, view bytes, error_code&) override
-    {
-        return append(bytes);
-    }
+    std::size_t on_chunk_body_impl(std::uint64_t, view, error_code&) override { return 0; }
     void on_finish_impl(error_code&) override {}
 
-    std::size_t append(view bytes)
+    static bool is_number(std::string_view text)
     {
-        body.append(bytes.data(), bytes.size());
-        return bytes.size();
+        return !text.empty() && std::all_of(text.begin(), text.end(), detail::is_digit);
     }
+
+    bool has_coding_ = false;
+    bool has_length_ = false;
 };
 
-/// Feeds `buffer` to the parser until it needs more or is done; takes away what was used.
-template <class Parser>
-parse_fault feed(Parser& parser, std::string& buffer)
+/// Whether a response with this status ends with its head, whatever its fields say.
+bool has_no_body(unsigned status)
 {
-    std::size_t used = 0;
-    parse_fault out = parse_fault::none;
-    while (used < buffer.size() && !parser.is_done()) {
+    constexpr unsigned first_final = 200;
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return status < first_final || status == no_content || status == not_modified;
+}
+
+/// Reads one message. The head is given to Beast in one piece and the body is framed here, so that
+/// the result does not depend on how the bytes are split, and no input exceeds the limits.
+template <bool is_request>
+class message_reader {
+public:
+    /// `bodyless`: the message is a response to HEAD.
+    message_reader(parse_limits limits, bool bodyless)
+        : limits_{limits}, bodyless_{bodyless}, scanner_{limits.head_bytes, !is_request},
+          chunks_{{.body_bytes = limits.body_bytes, .trailer_bytes = limits.head_bytes}}
+    {
+    }
+
+    /// Returns the number of bytes that have been read. While the head is incomplete that is 0, and
+    /// the next call must pass the same bytes again, followed by those that have arrived since.
+    std::size_t read(std::string_view bytes)
+    {
+        if (done_ || fault_ != parse_fault::none) {
+            return 0;
+        }
+        std::size_t used = 0;
+        if (!head_done_) {
+            used = read_head(bytes);
+            if (!head_done_) {
+                return 0;
+            }
+        }
+        return used + read_body(bytes.substr(used));
+    }
+    /// The peer has closed its side in good order.
+    void finish()
+    {
+        if (done_ || fault_ != parse_fault::none) {
+            return;
+        }
+        done_ = head_done_ && body_ == framing::until_close;
+        if (!done_) {
+            fault_ = parse_fault::cut_short;
+        }
+    }
+
+    [[nodiscard]] bool head_done() const noexcept { return head_done_; }
+    [[nodiscard]] bool done() const noexcept { return done_; }
+    [[nodiscard]] parse_fault fault() const noexcept { return fault_; }
+
+    collector<is_request> head;
+    std::string body;
+
+private:
+    std::size_t read_head(std::string_view bytes)
+    {
+        const std::size_t length = scanner_.scan(bytes);
+        if (length == 0) {
+            check_start_line(bytes.substr(0, scanner_.start_line()));
+            fault_ = fault_ == parse_fault::none ? scanner_.fault() : fault_;
+            return 0;
+        }
+        (is_request ? head.request.fields : head.response.fields).reserve(scanner_.lines());
         error_code ec;
-        const std::size_t n =
-            parser.put(boost::asio::buffer(buffer.data() + used, buffer.size() - used), ec);
-        used += n;
+        head.skip(bodyless_);
+        head.header_limit(std::numeric_limits<std::uint32_t>::max());
+        head.body_limit(boost::none);
+        head.put(boost::asio::buffer(bytes.data(), length), ec);
+        if (ec || !head.is_header_done()) {
+            fault_ = parse_fault::malformed;
+            return 0;
+        }
+        head_done_ = true;
+        begin_body();
+        return length;
+    }
+
+    /// Rejects a start line that is not one without waiting for the rest of the head.
+    void check_start_line(std::string_view line)
+    {
+        if (line.empty() || std::exchange(start_line_checked_, true)) {
+            return;
+        }
+        collector<is_request> parser;
+        error_code ec;
+        parser.put(boost::asio::buffer(line.data(), line.size()), ec);
         if (ec && ec != http::error::need_more) {
-            out = fault_of(ec);
-            break;
+            fault_ = parse_fault::malformed;
         }
-        if (n == 0) {
-            break;
+    }
+
+    void begin_body()
+    {
+        const bool empty = !is_request && (bodyless_ || has_no_body(head.response.status));
+        body_ = empty ? framing::none : head.response.body;
+        missing_ = body_ == framing::sized ? head.response.length : 0;
+        if (missing_ > limits_.body_bytes) {
+            fault_ = parse_fault::body_too_large;
         }
+        done_ = body_ == framing::none || (body_ == framing::sized && missing_ == 0);
+    }
+
+    std::size_t read_body(std::string_view bytes)
+    {
+        if (done_ || fault_ != parse_fault::none) {
+            return 0;
+        }
+        if (body_ == framing::chunked) {
+            const std::size_t used = chunks_.decode(bytes, body);
+            done_ = chunks_.done();
+            fault_ = chunks_.fault();
+            return used;
+        }
+        const bool sized = body_ == framing::sized;
+        const std::size_t used =
+            sized ? static_cast<std::size_t>(std::min<std::uint64_t>(missing_, bytes.size()))
+                  : bytes.size();
+        body.append(bytes.substr(0, used));
+        missing_ -= sized ? used : 0;
+        done_ = sized && missing_ == 0;
+        return used;
+    }
+
+    parse_limits limits_;
+    bool bodyless_;
+    head_scanner scanner_;
+    chunk_decoder chunks_;
+    framing body_ = framing::none;
+    std::uint64_t missing_ = 0; ///< bytes of a sized body
+    bool start_line_checked_ = false;
+    bool head_done_ = false;
+    bool done_ = false;
+    parse_fault fault_ = parse_fault::none;
+};
+
+/// Passes `bytes`, and before them what is left in `buffer`, to the reader; keeps the rest.
+template <class Reader>
+void feed(Reader& reader, std::string& buffer, std::string_view bytes)
+{
+    if (buffer.empty()) {
+        buffer.assign(bytes.substr(reader.read(bytes)));
+    } else {
+        buffer.append(bytes);
+        buffer.erase(0, reader.read(buffer));
+    }
+    if (reader.fault() != parse_fault::none) {
+        buffer = {};
     }
-    buffer.erase(0, used);
-    return out;
 }
 
 } // namespace
 
-struct request_parser::state {
-    collector<true> parser;
-    parse_fault fault = parse_fault::none;
+struct request_parser::state : message_reader<true> {
+    using message_reader::message_reader;
 };
 
 request_parser::request_parser(parse_limits limits) : limits_{limits}
@@ -125,134 +257,101 @@
 
 void request_parser::next()
 {
-    state_ = std::make_unique<state>();
-    state_->parser.eager(true);
-    state_->parser.header_limit(limits_.head_bytes);
-    state_->parser.body_limit(limits_.body_bytes);
-    if (!buffer_.empty()) {
-        parse();
-    }
+    state_ = std::make_unique<state>(limits_, false);
+    feed(*state_, buffer_, {});
 }
 
 void request_parser::push(std::string_view bytes)
 {
-    buffer_.append(bytes);
-    parse();
-}
-
-void request_parser::parse()
-{
-    if (state_->fault == parse_fault::none) {
-        state_->fault = feed(state_->parser, buffer_);
-    }
+    feed(*state_, buffer_, bytes);
 }
 
 bool request_parser::begun() const noexcept
 {
-    return !buffer_.empty() || state_->parser.got_some() || state_->parser.is_header_done();
+    return !buffer_.empty() || state_->head_done();
 }
 
 bool request_parser::head_done() const noexcept
 {
-    return state_->parser.is_header_done();
+    return state_->head_done();
 }
 
 bool request_parser::done() const noexcept
 {
-    return state_->parser.is_done();
+    return state_->done();
 }
 
 parse_fault request_parser::fault() const noexcept
 {
-    return state_->fault;
+    return state_->fault();
 }
 
 request_head& request_parser::head() noexcept
 {
-    return state_->parser.request;
+    return state_->head.request;
 }
 
 std::string& request_parser::body() noexcept
 {
-    return state_->parser.body;
+    return state_->body;
 }
 
-struct response_parser::state {
-    collector<false> parser;
-    parse_fault fault = parse_fault::none;
+struct response_parser::state : message_reader<false> {
+    using message_reader::message_reader;
 };
 
-response_parser::response_parser() : state_{std::make_unique<state>()} {}
+response_parser::response_parser()
+{
+    begin(false);
+}
 
 response_parser::~response_parser() = default;
 
 void response_parser::begin(bool bodyless)
 {
-    state_ = std::make_unique<state>();
-    state_->parser.eager(true);
-    state_->parser.skip(bodyless);
-    state_->parser.header_limit(response_head_limit);
-    state_->parser.body_limit(boost::none);
-    if (!buffer_.empty()) {
-        parse();
-    }
+    constexpr parse_limits limits{response_head_limit, std::numeric_limits<std::uint64_t>::max()};
+    state_ = std::make_unique<state>(limits, bodyless);
+    feed(*state_, buffer_, {});
 }
 
 void response_parser::push(std::string_view bytes)
 {
-    buffer_.append(bytes);
-    parse();
-}
-
-void response_parser::parse()
-{
-    if (state_->fault == parse_fault::none) {
-        state_->fault = feed(state_->parser, buffer_);
-    }
+    feed(*state_, buffer_, bytes);
 }
 
 void response_parser::finish()
 {
-    if (state_->parser.is_done() || state_->fault != parse_fault::none) {
-        return;
-    }
-    error_code ec;
-    if (state_->parser.got_some()) {
-        state_->parser.put_eof(ec);
-    }
-    if (ec || !state_->parser.is_done()) {
-        state_->fault = parse_fault::cut_short;
-    }
+    state_->finish();
 }
 
 bool response_parser::head_done() const noexcept
 {
-    return state_->parser.is_header_done();
+    return state_->head_done();
 }
 
 bool response_parser::done() const noexcept
 {
-    return state_->parser.is_done();
+    return state_->done();
 }
 
 parse_fault response_parser::fault() const noexcept
 {
-    return state_->fault;
+    return state_->fault();
 }
 
 response_head& response_parser::head() noexcept
 {
-    return state_->parser.response;
+    return state_->head.response;
 }
 
 std::string response_parser::take_body()
 {
-    return std::exchange(state_->parser.body, {});
+    return std::exchange(state_->body, {});
 }
 
 bool response_parser::has_extra() const noexcept
 {
-    return state_->parser.is_done() && !buffer_.empty();
+    return state_->done() && !buffer_.empty();
 }
 
 } // namespace hickorypost::http1
