[gateway] Do not read without limit behind a request in flight

What a caller sent before the answer to its previous request was kept without limit. Above 64 KB the connection is now not read until that answer is complete.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -16,6 +16,9 @@
 /// A connection on which sent bytes or keepalive probes stay unacknowledged for this long is
 /// closed.
 constexpr millis unacknowledged_timeout{10'000};
+/// Bytes that a caller may send before the answer to its previous request. Beyond them its
+/// connection is not read until that answer is complete.
+constexpr std::size_t max_pipelined_bytes = std::size_t{64} << 10U;
 /// Bytes of an answer that may wait for the end of the turn. What is unsent beyond them has been
 /// refused by the socket, so that `drained` follows; the exchange pauses reading until then.
 constexpr std::size_t max_deferred_bytes = std::size_t{64} << 10U;
@@ -102,6 +105,9 @@
     if (!busy_) {
         advance();
     }
+    if (busy_ && parser_.buffered() > max_pipelined_bytes) {
+        stream_->set_reading(false); // until the request in flight has its answer
+    }
 }
 
 void caller_connection::advance()
@@ -249,6 +255,7 @@
         return;
     }
     busy_ = false;
+    stream_->set_reading(true);
     parser_.set_limits(to_parse_limits(server_.options_.limits()));
     parser_.next();
     if (parser_.begun()) {
@@ -298,6 +305,7 @@
     busy_ = false;
     closing_when_sent_ = false;
     lingering_ = true;
+    stream_->set_reading(true);
     stream_->shut_down_output();
     close_after(linger_timeout);
 }
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -272,6 +272,47 @@
     }
 }
 
+// Guards against a caller that fills the host's memory while its request is in flight, and against
+// a connection that is never read again after that.
+BOOST_AUTO_TEST_CASE(endless_bytes_behind_a_request_are_not_read_before_its_answer)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    std::shared_ptr<gateway::caller_port> answer;
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&answer](const incoming_request& request) {
+                                     answer = request.answer;
+                                     return nullptr;
+                                 }});
+    const int caller = send_request(address, "/");
+    run_main_loop();
+    BOOST_REQUIRE(answer);
+    ::fcntl(caller, F_SETFL, O_NONBLOCK);
+    const std::string block(std::size_t{1} << 20U, 'x');
+    const auto fill = [&] {
+        std::size_t out = 0;
+        for (ssize_t n = 1; n > 0; out += static_cast<std::size_t>(std::max<ssize_t>(n, 0))) {
+            n = ::send(caller, block.data(), block.size(), MSG_NOSIGNAL);
+        }
+        run_main_loop();
+        return out;
+    };
+    std::size_t last = 1;
+    for (int n = 0; n < 50 && last > 0; ++n) {
+        last = fill();
+    }
+    BOOST_TEST(last == 0U);
+    answer->respond(http1::response_head{.status = 200}, "ok");
+    answer.reset();
+    run_main_loop();
+    BOOST_TEST(fill() > 0U);
+    ::close(caller);
+}
+
 // Guards against an overloaded host that reads what it cannot serve.
 BOOST_AUTO_TEST_CASE(new_connection_is_closed_unread_while_the_host_is_overloaded)
 {
