[gateway] More than 32 interim answers are no answer

Its attempt now fails as for any other broken answer, and is retried where that is allowed. The new test finds no fault before and a broken attempt now.

--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -68,6 +68,7 @@
         bodyless_ = bodyless;
         head_delivered_ = false;
         received_bytes_ = false;
+        interim_responses_ = 0;
         parser_.begin(bodyless);
         if (stream_) {
             // The answer before may have ended while reading was paused for its caller.
@@ -182,7 +183,11 @@
     {
         auto& head = parser_.head();
         if (head.status < min_final_status) {
-            skipping_ = true; // interim response (1xx)
+            if (++interim_responses_ > pool_.settings_.max_interim_responses) {
+                fail(gateway::attempt_fault::broken);
+                return false;
+            }
+            skipping_ = true;
         } else {
             keep_alive_ = head.keep_alive && head.body != http1::framing::until_close;
             if (const auto timeout = keep_alive_timeout(head.fields)) {
@@ -278,6 +283,7 @@
     gateway::attempt_events* events_ = nullptr;
     std::uint64_t timer_ = 0;
     millis idle_timeout_;
+    std::size_t interim_responses_ = 0;
     bool bodyless_ = false;
     bool head_delivered_ = false;
     bool skipping_ = false;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -26,6 +26,9 @@
     /// so that it could not be retried.
     double idle_timeout_fraction = 0.6;
     gateway::connection_share_settings share;
+    /// Interim responses (1xx) before the final one. A backend server that sends more is taken for
+    /// one that never ends its answer.
+    std::size_t max_interim_responses = 32;
     /// A connection on which sent bytes or keepalive probes stay unacknowledged for this long is
     /// closed.
     millis unacknowledged_timeout{2500};
--- a/tests/gateway/backend_pool_test.cpp
+++ b/tests/gateway/backend_pool_test.cpp
@@ -107,4 +107,36 @@
     BOOST_TEST((*it.fault == gateway::attempt_fault::broken));
 }
 
+// Guards against a request that waits until its deadline for an answer that never begins.
+BOOST_AUTO_TEST_CASE(endless_interim_responses_are_no_answer)
+{
+    pool_fixture it;
+    run_main_loop();
+    const int peer = it.server.accept();
+    std::string interim;
+    for (std::size_t n = 0; n < 100; ++n) {
+        interim += "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    }
+    BOOST_REQUIRE(::send(peer, interim.data(), interim.size(), MSG_NOSIGNAL) > 0);
+    run_main_loop();
+    ::close(peer);
+    BOOST_REQUIRE(it.fault.has_value());
+    BOOST_TEST((*it.fault == gateway::attempt_fault::broken));
+}
+
+// Guards against rejecting an answer because of the interim responses before it.
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
+{
+    constexpr std::string_view answer =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    pool_fixture it;
+    run_main_loop();
+    const int peer = it.server.accept();
+    BOOST_REQUIRE(::send(peer, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
+    run_main_loop();
+    ::close(peer);
+    BOOST_TEST(it.completed == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
