[control plane] Members of the control log dial each other

Cause: only the seeds and hosts named over a link were dialled, not the members that the replica on the disk names. A host now dials them at the start and whenever the configuration of the group changes.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -220,6 +220,7 @@
     if (!group_) {
         return;
     }
+    dial_members();
     const auto& machine = static_cast<const gateway::control_state&>(group_->machine());
     if (machine.state().revision > state_.revision) {
         update_state(machine.state());
@@ -236,6 +237,22 @@
     }
 }
 
+void control_plane::dial_members()
+{
+    const auto& config = group_->core().config();
+    if (config == dialled_) {
+        return;
+    }
+    dialled_ = config;
+    std::vector<node_id> hosts;
+    for (const auto* const members : {&config.voters, &config.learners}) {
+        for (const auto& it : *members) {
+            hosts.push_back(it.node);
+        }
+    }
+    mesh_.dial(hosts);
+}
+
 void control_plane::update_state(gateway::site_state state)
 {
     if (state.revision <= state_.revision) {
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -94,8 +94,11 @@
     void open_disk();
     void close_disk(std::string_view reason);
     void send_replog(const node_id& to, const replog::message& msg);
-    /// Takes over leader and state from the local replica.
+    /// Takes over leader, members and state from the local replica.
     void follow_replica();
+    /// Connects to the members of the control log that the local replica names. After a restart of
+    /// all of them the seeds may be down, and nobody else would introduce them to each other.
+    void dial_members();
     /// Founds the replication group if this host has to.
     void found_group_if_due();
     void tick();
@@ -141,7 +144,8 @@
 
     gateway::site_state state_;
     gateway::rollout_judge judge_;
-    bool was_leading_ = false; ///< in the last tick
+    bool was_leading_ = false;     ///< in the last tick
+    replog::group_config dialled_; ///< members that have been dialled
     bool synced_ = false;
     bool sync_pending_ = false;
     instant started_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -313,7 +313,7 @@
                                     })}));
     }
     env_.metrics.on_collect([this](telemetry::metrics& metrics) { collect_metrics(metrics); });
-    mesh_->dial_seeds(config_.seeds);
+    mesh_->dial(config_.seeds);
     control_->start();
     backend_feed_->start();
     tick_timer_ = net::timer::every(tick_period, [this] { tick(); });
@@ -557,7 +557,7 @@
 void gateway_role::reload(const settings& config)
 {
     if (config.gateway) {
-        mesh_->dial_seeds(config.gateway->seeds);
+        mesh_->dial(config.gateway->seeds);
         shares_.set_weights(config.gateway->account_weights);
         services_.settings.admission = config.gateway->decisions.exchange.admission;
         env_.log->info("settings reloaded: {} seeds, {} account weights, admission {}",
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -80,9 +80,9 @@
     return {};
 }
 
-void peer_mesh::dial_seeds(const std::vector<node_id>& seeds)
+void peer_mesh::dial(const std::vector<node_id>& hosts)
 {
-    for (const auto& it : seeds) {
+    for (const auto& it : hosts) {
         connect_to(it);
     }
 }
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -37,7 +37,7 @@
     peer_mesh& operator=(const peer_mesh&) = delete;
 
     /// Connects to hosts of which only the address is known.
-    void dial_seeds(const std::vector<node_id>& seeds);
+    void dial(const std::vector<node_id>& hosts);
     /// Adds a core host and connects to it. Returns false if it is already known.
     bool add_core_host(const wire::host_info& host);
 
--- a/tests/gateway/control_plane_test.cpp
+++ b/tests/gateway/control_plane_test.cpp
@@ -111,7 +111,7 @@
         BOOST_REQUIRE(mesh_ != nullptr);
         plane_ =
             std::make_unique<control_plane>(env_, *mesh_, control_hooks{[](const auto&) {}, [] {}});
-        mesh_->dial_seeds(config_.gateway->seeds);
+        mesh_->dial(config_.gateway->seeds);
         plane_->start();
     }
 
