[directory] A restarted host knows departures announced by name

Cause: a departure without a start time was passed on under the bare name, which a host that does not know the incarnation files under an id that no record has. The full state now names the incarnation; a host that gets a departure by name first applies it to the next incarnation it hears of. Two heartbeats refute it, as before.

--- a/modules/gateway/include/hickorypost/gateway/backend_directory.h
+++ b/modules/gateway/include/hickorypost/gateway/backend_directory.h
@@ -30,6 +30,8 @@
     std::uint64_t sequence = 0; ///< increases with each heartbeat of an incarnation
     std::string name;           ///< name of the backend server; may stay the same over restarts
     std::uint64_t born = 0;     ///< start time in Unix milliseconds; 0 if unknown
+    /// Of a departure: it was announced without a start time, so that heartbeats can refute it.
+    bool announced_by_name = false;
 };
 
 /// Identity of one start of a backend server: its name, and its start time if that is known. The
@@ -169,12 +171,17 @@
     struct tombstone {
         instant at;
         /// If not empty, the departure was announced by this name only and heartbeats can refute
-        /// it.
+        /// it. Equal to the tombstone's id if no incarnation was known then.
         std::string announced_name;
         std::uint64_t sequence = 0;   ///< of the newest heartbeat received
         std::uint32_t heartbeats = 0; ///< heartbeats received since the departure
+        std::uint64_t born = 0;       ///< start time of the incarnation, if announced by name
     };
 
+    using tombstone_map = std::map<std::string, tombstone, std::less<>>;
+
+    /// The tombstone that concerns this heartbeat, if any.
+    [[nodiscard]] tombstone_map::iterator find_tombstone(const backend_record& record);
     /// Whether a tombstone rejects this heartbeat. Drops a tombstone that heartbeats have refuted.
     [[nodiscard]] bool blocked_by_tombstone(const backend_record& record);
     /// Registers the record's start and replaces an older one. Returns false if a newer start of
@@ -194,7 +201,7 @@
     directory_settings settings_;
     std::string own_domain_;
     std::map<std::string, backend_entry, std::less<>> entries_;
-    std::map<std::string, tombstone, std::less<>> tombstones_;
+    tombstone_map tombstones_;
     std::map<std::string, known_start, std::less<>> newest_starts_;   ///< by name
     std::map<std::string, std::string, std::less<>> address_holders_; ///< incarnation by address
     std::vector<std::string> superseded_;
--- a/modules/gateway/src/backend_directory.cpp
+++ b/modules/gateway/src/backend_directory.cpp
@@ -68,14 +68,29 @@
     return differs ? change::changed : change::touched;
 }
 
+backend_directory::tombstone_map::iterator
+backend_directory::find_tombstone(const backend_record& record)
+{
+    const auto exact = tombstones_.find(record.id);
+    if (exact != tombstones_.end()) {
+        return exact;
+    }
+    // A departure by name that arrived before any incarnation was known.
+    const auto by_name = tombstones_.find(name_of(record));
+    const bool applies =
+        by_name != tombstones_.end() && by_name->second.announced_name == by_name->first;
+    return applies ? by_name : tombstones_.end();
+}
+
 bool backend_directory::blocked_by_tombstone(const backend_record& record)
 {
-    const auto found = tombstones_.find(record.id);
+    const auto found = find_tombstone(record);
     if (found == tombstones_.end()) {
         return false;
     }
     tombstone& it = found->second;
-    if (it.announced_name.empty() || record.sequence <= it.sequence) {
+    const bool refutable = !it.announced_name.empty() && it.announced_name != record.id;
+    if (!refutable || record.sequence <= it.sequence) {
         return true;
     }
     // A departure without a start time may be a delayed one of an earlier incarnation. A single
@@ -96,7 +111,7 @@
         if (record.born <= newest.born) {
             return false;
         }
-        if (add_tombstone(newest.id, {now, {}, 0, 0})) {
+        if (add_tombstone(newest.id, {now, {}, 0, 0, 0})) {
             superseded_.push_back(newest.id);
         }
     }
@@ -112,16 +127,24 @@
         accept_start(record, now);
     }
     const auto newest = newest_starts_.find(name);
-    const bool by_name =
-        record.born == 0 && newest != newest_starts_.end() && newest->second.born != 0;
-    const std::string id = by_name ? newest->second.id : record.id;
+    const bool is_known = newest != newest_starts_.end();
+    const bool names_newest = record.born == 0 && is_known && newest->second.born != 0;
+    const std::string id = names_newest ? newest->second.id : record.id;
     const auto known = entries_.find(id);
-    const std::uint64_t sequence = known == entries_.end() ? 0 : known->second.record.sequence;
-    if (by_name && known == entries_.end()) {
+    if (names_newest && known == entries_.end()) {
         return change::none; // already removed
     }
-    return add_tombstone(id, {now, by_name ? name : std::string{}, sequence, 0}) ? change::changed
-                                                                                 : change::none;
+    tombstone stone{now, {}, record.sequence, 0, record.born};
+    if (names_newest || !is_known || record.announced_by_name) {
+        stone.announced_name = name;
+    }
+    if (names_newest) {
+        stone.born = newest->second.born;
+    }
+    if (known != entries_.end()) {
+        stone.sequence = std::max(stone.sequence, known->second.record.sequence);
+    }
+    return add_tombstone(id, std::move(stone)) ? change::changed : change::none;
 }
 
 void backend_directory::claim_address(backend_entry& it)
@@ -207,7 +230,7 @@
 
 bool backend_directory::remove(std::string_view id, instant now)
 {
-    return add_tombstone(id, {now, {}, 0, 0});
+    return add_tombstone(id, {now, {}, 0, 0, 0});
 }
 
 bool backend_directory::add_tombstone(std::string_view id, tombstone stone)
@@ -295,8 +318,12 @@
     }
     for (const auto& [id, it] : tombstones_) {
         backend_record gone;
-        gone.id = it.announced_name.empty() ? id : it.announced_name;
+        gone.id = id;
         gone.state = backend_state::gone;
+        gone.sequence = it.sequence;
+        gone.name = it.announced_name;
+        gone.born = it.born;
+        gone.announced_by_name = !it.announced_name.empty();
         out.push_back(std::move(gone));
     }
     return out;
--- a/modules/gateway/tests/backend_directory_test.cpp
+++ b/modules/gateway/tests/backend_directory_test.cpp
@@ -97,6 +97,58 @@
     BOOST_TEST(usable(it) == std::vector<std::string>{"b@2000"}, boost::test_tools::per_element());
 }
 
+/// The directory of a host that has just started and got the state of another one.
+backend_directory restarted_beside(const backend_directory& other)
+{
+    backend_directory out{{}};
+    for (const auto& record : other.all(start)) {
+        out.take(record, start);
+    }
+    return out;
+}
+
+// Guards against requests to a backend server that has left, from a host that restarts before a
+// late heartbeat of it arrives.
+BOOST_AUTO_TEST_CASE(restarted_host_knows_a_departure_announced_by_name_only)
+{
+    backend_directory other{{}};
+    other.take(heartbeat("b", 2000, 5), start);
+    other.take(departure("b", 0), start);
+    auto it = restarted_beside(other);
+    it.take(heartbeat("b", 2000, 5), start);
+    it.take(heartbeat("b", 2000, 6), start); // sent before the departure, arrives late
+    BOOST_TEST(usable(it).empty());
+    it.take(heartbeat("b", 2000, 7), start);
+    BOOST_TEST(usable(it) == std::vector<std::string>{"b@2000"}, boost::test_tools::per_element());
+}
+
+// Guards against the same if the departure itself arrives before the host knows the backend server.
+BOOST_AUTO_TEST_CASE(departure_by_name_of_an_unknown_backend_blocks_its_late_heartbeat)
+{
+    backend_directory it{{}};
+    it.take(departure("b", 0), start);
+    auto third = restarted_beside(it);
+    for (auto* const host : {&it, &third}) {
+        host->take(heartbeat("b", 2000, 6), start);
+        BOOST_TEST(usable(*host).empty());
+        host->take(heartbeat("b", 2000, 7), start);
+        BOOST_TEST(usable(*host).size() == 1U);
+    }
+}
+
+// Guards against a departure by name that removes the next incarnation on a host that has just
+// started.
+BOOST_AUTO_TEST_CASE(restarted_host_uses_the_incarnation_after_a_departure)
+{
+    backend_directory other{{}};
+    other.take(heartbeat("b", 1000, 5), start);
+    other.take(departure("b", 0), start);
+    other.take(heartbeat("b", 2000, 1), start);
+    BOOST_TEST(usable(other).size() == 1U);
+    const auto it = restarted_beside(other);
+    BOOST_TEST(usable(it) == std::vector<std::string>{"b@2000"}, boost::test_tools::per_element());
+}
+
 // A backend server that started later has taken the address. Guards against several delayed
 // heartbeats of the former holder that take the address back.
 BOOST_AUTO_TEST_CASE(address_stays_with_the_backend_server_that_started_last)
