--- a/bench/http1_bench.cpp
+++ b/bench/http1_bench.cpp
@@ -38,10 +38,11 @@
 void short_requests()
 {
     constexpr std::size_t requests = 200'000;
-    const std::string text = "POST /v1/chat HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 12345678\r\n"
-                             "Api-Key: 0123456789abcdef\r\nRequest-Deadline: 20000\r\n"
-                             "Content-Length: 64\r\n\r\n" +
-                             std::string(64, 'x');
+    const std::string text =
+        "POST /v1/chat HTTP/1.1\r\nHost: a.example\r\nAccept: text/event-stream\r\n"
+        "Authorization: Bearer 0123456789abcdef\r\nX-Trace: 1234\r\n"
+        "Content-Length: 64\r\n\r\n" +
+        std::string(64, 'x');
     const double seconds = best_time([&] {
         request_parser it{{}};
         for (std::size_t n = 0; n < requests; ++n) {
