--- a/tests/gateway/control_plane_test.cpp
+++ b/tests/gateway/control_plane_test.cpp
@@ -12,8 +12,8 @@
 using namespace hickorypost;
 
 constexpr millis wait_limit{5000};
-const node_id leader_host = "127.0.0.2";
-const node_id plain_host = "127.0.0.1";
+const node_id leader_host = "127.0.33.2";
+const node_id plain_host = "127.0.33.1";
 
 /// Runs the main loop until `done` returns true. Returns false after `wait_limit`.
 bool run_until(const std::function<bool()>& done)
