[gateway] Log whether a caller ended its input or its connection was lost

Change: the exchange is told how the connection ended and names it as the reason. Result: exchange_test checks that the reason reaches the record.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -171,8 +171,8 @@
     exchange& operator=(const exchange&) = delete;
 
     void start();
-    /// The caller closed its connection. Cancels the current attempt.
-    void caller_left();
+    /// The caller's connection ended, in the way that `why` says. Cancels the current attempt.
+    void caller_left(std::string_view why);
     /// This host is about to exit. Sends the caller an error now, or breaks its answer off if part
     /// of it has been sent.
     void host_exits();
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -432,13 +432,13 @@
     reply_with_error(may_have_run_ ? status_timeout : status_unavailable, why);
 }
 
-void exchange::caller_left()
+void exchange::caller_left(std::string_view why)
 {
     if (finished_) {
         return;
     }
     end_attempt(attempt_result::dropped);
-    finish(exchange_outcome::caller_left, 0, "caller closed its connection");
+    finish(exchange_outcome::caller_left, 0, why);
 }
 
 void exchange::caller_drained()
--- a/modules/gateway/tests/exchange_admission_test.cpp
+++ b/modules/gateway/tests/exchange_admission_test.cpp
@@ -134,7 +134,7 @@
 {
     engine_gateway it;
     it.set_backlog(800);
-    it.ask(as_is).caller_left();
+    it.ask(as_is).caller_left("reset");
     BOOST_TEST(it.admission.waiting().at("app") == 0U);
     it.ask(as_is);
     it.current.reset();
--- a/modules/gateway/tests/exchange_crashes_test.cpp
+++ b/modules/gateway/tests/exchange_crashes_test.cpp
@@ -131,7 +131,7 @@
     it.ask(as_unsafe, millis{100});
     it.timers.run_for(millis{200});
     BOOST_TEST(it.caller.status == 504U);
-    it.ask(as_unsafe).caller_left();
+    it.ask(as_unsafe).caller_left("reset");
     it.timers.run_for(millis{200});
     BOOST_TEST(it.backends.attempts.size() == 2U);
     BOOST_TEST(it.suspects.empty());
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -190,9 +190,10 @@
     one_gateway it;
     it.ask(as_stream);
     it.answer(200, event(0));
-    it.current->caller_left();
+    it.current->caller_left("reset");
     BOOST_TEST(it.backends.last().cancelled);
     BOOST_TEST((it.records.back().outcome == exchange_outcome::caller_left));
+    BOOST_TEST(it.records.back().reason == "reset");
 }
 
 // A process that has just started knows no backend server. A request waits for the first heartbeat
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -60,7 +60,7 @@
             on_answer_complete();
         }
     };
-    hooks.ended = [this](net::stream_end) { on_ended(); };
+    hooks.ended = [this](net::stream_end how) { on_ended(how); };
     stream_->set_hooks(std::move(hooks));
     arm_timer();
     // What has arrived is read now, so that the caller of this function can limit how much is.
@@ -338,13 +338,15 @@
     server_.options_.connection_lost({request_, state, by_caller, stream_->unsent()});
 }
 
-void caller_connection::on_ended()
+void caller_connection::on_ended(net::stream_end how)
 {
     const auto keep = shared_from_this();
     report_loss(true);
     closed_ = true;
     if (exchange_) {
-        exchange_->caller_left();
+        exchange_->caller_left(how == net::stream_end::finished
+                                   ? "caller ended its input"
+                                   : "caller's connection was reset or timed out");
         exchange_.reset();
     }
     server_.remove(this);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -67,7 +67,7 @@
     /// Reports a connection that ends while an answer is pending.
     void report_loss(bool by_caller);
     /// The caller has closed the connection or it has failed.
-    void on_ended();
+    void on_ended(net::stream_end how);
 
     caller_server& server_;
     std::unique_ptr<net::tcp_stream> stream_;
