[gateway] Answer callers that end their input after a request

Cause: tcp_stream reported the end of the peer's input as the end of the stream, and caller_connection cancelled the exchange and closed the connection. Change: tcp_stream tells the end of the input from the end of the stream (hook input_ended), and caller_connection stays open while an answer is due, also for requests sent together. TCP does not tell such a caller from one that has closed its connection, so the host sends 100 Continue before the head of the answer; a closed connection is reset by it and its request is cancelled as before. HTTP/1.0 has no interim responses; there only the answer itself finds out. New process tests pass, among them streams of callers that have closed being cancelled.

--- a/modules/http1/include/hickorypost/http1/message.h
+++ b/modules/http1/include/hickorypost/http1/message.h
@@ -53,6 +53,7 @@
     field_list fields;
     bool keep_alive = true;
     bool expects_continue = false;
+    bool accepts_interim = true; ///< interim responses (1xx), which HTTP/1.0 does not have
 };
 
 struct response_head {
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -34,10 +34,12 @@
     response_head response;
 
 private:
-    void on_request_impl(http::verb, view method, view target, int, error_code&) override
+    void on_request_impl(http::verb, view method, view target, int version, error_code&) override
     {
+        constexpr int http_1_1 = 11;
         request.method = plain(method);
         request.target = plain(target);
+        request.accepts_interim = version >= http_1_1;
     }
     void on_response_impl(int status, view reason, int, error_code&) override
     {
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -39,6 +39,9 @@
         std::function<void(std::string_view)> bytes;
         std::function<void()>
             drained; ///< all bytes are sent, after a write that would have blocked
+        /// The peer has ended its input in good order. Returns whether the stream stays open for
+        /// output; `ended` then follows only if the connection fails. If unset, the stream ends.
+        std::function<bool()> input_ended;
         std::function<void(stream_end)> ended; ///< once; nothing follows
     };
 
@@ -84,6 +87,8 @@
     void write_out();
     void note_send_error(int error);
     void read_all();
+    /// Handles the peer's orderly end of its input.
+    void end_input();
     void end(stream_end how);
     void release();
 
@@ -98,8 +103,10 @@
     bool peer_closed_ = false;
     bool blocked_ = false;
     bool sent_any_ = false;
-    bool broken_ = false;   ///< a write found the connection reset or timed out
-    int connect_error_ = 0; ///< errno of the call that began to connect
+    bool broken_ = false;        ///< a write found the connection reset or timed out
+    bool input_ended_ = false;   ///< the stream is open for output only
+    bool output_failed_ = false; ///< a write found the connection closed
+    int connect_error_ = 0;      ///< errno of the call that began to connect
     /// Set while hooks run, so that a destroyed stream is noticed.
     bool* destroyed_ = nullptr;
 };
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -130,7 +130,7 @@
 
 void tcp_stream::set_hooks(hooks to)
 {
-    if (hooks_.bytes || hooks_.ended || hooks_.connected || hooks_.drained) {
+    if (hooks_.bytes || hooks_.ended || hooks_.connected || hooks_.drained || hooks_.input_ended) {
         retired_ = std::exchange(hooks_, {});
     }
     hooks_ = std::move(to);
@@ -150,6 +150,10 @@
 void tcp_stream::flush()
 {
     write_out();
+    if (fd_ >= 0 && input_ended_ && output_failed_) {
+        guarded([this] { end(stream_end::failed); });
+        return;
+    }
     if (fd_ >= 0 && readable_ && (reading_ || peer_closed_)) {
         guarded([this] { read_all(); });
     }
@@ -186,6 +190,10 @@
     // The kernel reports the error of a connection only once, here or in `recv`. EPIPE is no such
     // error: it follows the peer's orderly end, or an error that has been reported before.
     broken_ = broken_ || error != EPIPE;
+    output_failed_ = true;
+    if (input_ended_) {
+        poller_->flush_later(*this); // not now: the caller may be in the middle of a hook
+    }
 }
 
 void tcp_stream::close()
@@ -270,6 +278,12 @@
     if (*gone) {
         return;
     }
+    if (input_ended_) {
+        if (broken) {
+            end(stream_end::failed);
+        }
+        return;
+    }
     if (broken || (events & EPOLLRDHUP) != 0) {
         peer_closed_ = true;
     }
@@ -313,11 +327,26 @@
             readable_ = false;
             return;
         }
-        end(n == 0 && !broken_ ? stream_end::finished : stream_end::failed);
+        if (n == 0 && !broken_) {
+            end_input();
+        } else {
+            end(stream_end::failed);
+        }
         return;
     }
 }
 
+void tcp_stream::end_input()
+{
+    const bool* const gone = destroyed_;
+    readable_ = false;
+    input_ended_ = true;
+    const bool stays_open = hooks_.input_ended && hooks_.input_ended();
+    if (!*gone && !stays_open) {
+        end(stream_end::finished);
+    }
+}
+
 tcp_listener::tcp_listener(poller& on, int fd, accept_fn accept)
     : poller_{&on}, fd_{fd}, accept_{std::move(accept)}
 {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_body_too_large = 413;
@@ -60,6 +61,7 @@
             on_answer_complete();
         }
     };
+    hooks.input_ended = [this] { return on_input_ended(); };
     hooks.ended = [this](net::stream_end how) { on_ended(how); };
     stream_->set_hooks(std::move(hooks));
     arm_timer();
@@ -121,7 +123,7 @@
         return;
     }
     if (parser_.head_done() && std::exchange(parser_.head().expects_continue, false)) {
-        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        stream_->write(continue_response);
     }
     if (parser_.begun() != timing_request_ || timer_ == 0) {
         arm_timer();
@@ -145,6 +147,8 @@
 void caller_connection::on_request()
 {
     busy_ = true;
+    answer_begun_ = false;
+    accepts_interim_ = parser_.head().accepts_interim;
     arrived_ = server_.now_();
     server_.timers_.cancel(std::exchange(timer_, 0));
     const auto& options = server_.options_;
@@ -175,12 +179,19 @@
     }
 }
 
+bool caller_connection::stays_open() const
+{
+    const bool is_last = input_ended_ && parser_.buffered() == 0;
+    return keep_alive_ && !server_.draining_ && !is_last;
+}
+
 void caller_connection::respond(http1::response_head head, std::string body)
 {
     if (closed_) {
         return;
     }
-    keep_alive_ = keep_alive_ && !server_.draining_;
+    keep_alive_ = stays_open();
+    answer_begun_ = true;
     if (!has_no_body(head.status)) {
         head.fields.add("Content-Length", std::to_string(body.size()));
     }
@@ -200,7 +211,8 @@
     if (closed_) {
         return;
     }
-    keep_alive_ = keep_alive_ && !server_.draining_;
+    keep_alive_ = stays_open();
+    answer_begun_ = true;
     head.fields.add("Transfer-Encoding", "chunked");
     if (!keep_alive_) {
         head.fields.add("Connection", "close");
@@ -263,6 +275,9 @@
     } else {
         arm_timer();
     }
+    if (input_ended_ && !busy_) {
+        close_when_sent(); // no further request can be complete
+    }
 }
 
 void caller_connection::finish_request()
@@ -299,11 +314,17 @@
 
 void caller_connection::linger()
 {
+    busy_ = false;
+    closing_when_sent_ = false;
+    if (input_ended_) {
+        const auto keep = shared_from_this();
+        close();
+        server_.remove(this);
+        return;
+    }
     // Closing a socket that has unread input resets the connection, and the caller may lose the
     // answer. Therefore this side shuts down its output and waits until the caller, having read the
     // answer, closes the connection.
-    busy_ = false;
-    closing_when_sent_ = false;
     lingering_ = true;
     stream_->set_reading(true);
     stream_->shut_down_output();
@@ -338,6 +359,24 @@
     server_.options_.connection_lost({request_, state, by_caller, stream_->unsent()});
 }
 
+bool caller_connection::on_input_ended()
+{
+    if (lingering_ || !answer_pending()) {
+        return false;
+    }
+    input_ended_ = true;
+    ++server_.inputs_ended_;
+    if (!busy_) {
+        keep_alive_ = false;
+        on_answer_complete();
+    } else if (!answer_begun_ && accepts_interim_) {
+        // A caller that has closed its connection resets it when bytes arrive, so that its request
+        // is cancelled. Any other caller ignores an interim response.
+        stream_->write(continue_response);
+    }
+    return true;
+}
+
 void caller_connection::on_ended(net::stream_end how)
 {
     const auto keep = shared_from_this();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -66,6 +66,11 @@
     void close_after(millis limit);
     /// Reports a connection that ends while an answer is pending.
     void report_loss(bool by_caller);
+    /// Whether the next request, if there is one, comes on this connection.
+    [[nodiscard]] bool stays_open() const;
+    /// The caller sends nothing more. It may still read the answers to its requests, or it may have
+    /// closed the connection. Returns whether an answer is still to be sent.
+    bool on_input_ended();
     /// The caller has closed the connection or it has failed.
     void on_ended(net::stream_end how);
 
@@ -80,7 +85,10 @@
     bool held_ = false;
     bool keep_alive_ = true;
     bool bodyless_ = false;        ///< the answer to HEAD has no body
+    bool accepts_interim_ = true;  ///< see `http1::request_head`
+    bool answer_begun_ = false;    ///< the head of the answer has been written
     bool answer_complete_ = false; ///< `flush` prepares for the next request or closes
+    bool input_ended_ = false;     ///< no further bytes of the caller follow
     bool closed_ = false;
     bool closing_when_sent_ = false; ///< closes once the complete answer has been sent
     bool lingering_ = false;         ///< the answer is sent; waits for the caller to close
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -105,6 +105,8 @@
     /// Connections that were opened, and closed unread, since the start.
     [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
     [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
+    /// Connections since the start whose callers ended their input before the answer was sent.
+    [[nodiscard]] std::uint64_t inputs_ended() const noexcept { return inputs_ended_; }
 
 private:
     friend class caller_connection;
@@ -140,6 +142,7 @@
     std::deque<std::weak_ptr<caller_connection>> released_; ///< held requests to dispatch
     std::uint64_t opened_ = 0;
     std::uint64_t refused_ = 0;
+    std::uint64_t inputs_ended_ = 0;
     std::uint64_t resume_timer_ = 0;
     bool accepts_ = false;
     bool draining_ = false;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -656,6 +656,7 @@
                 static_cast<double>(pool_.busy_connections()));
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
+    metrics.set("caller_inputs_ended", static_cast<double>(callers_server_->inputs_ended()));
     metrics.set("overloaded", callers_server_->is_overloaded() ? 1 : 0);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -223,21 +223,25 @@
     }
 }
 
-/// Connects and sends a request without waiting for the answer. Returns the descriptor.
-int send_request(const net::endpoint& address, const std::string& target)
+/// Connects and sends `text` without waiting for an answer. Returns the descriptor.
+int send_bytes(const net::endpoint& address, std::string_view text)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(address.port);
     to.sin_addr.s_addr = address.ip;
-    const std::string text = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
     if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
         (void)::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
     }
     return fd;
 }
 
+int send_request(const net::endpoint& address, const std::string& target)
+{
+    return send_bytes(address, "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+
 // Guards against a host that lets those who came last go first once it has its configuration.
 BOOST_AUTO_TEST_CASE(held_requests_are_released_oldest_first)
 {
@@ -313,6 +317,181 @@
     ::close(caller);
 }
 
+/// A server whose requests are answered by the test, and one caller that ends its input.
+class half_closed_caller {
+public:
+    explicit half_closed_caller(std::string_view requests)
+        : server_{caller_server::open(poller_, timers_, [this] { return timers_.now; }, address_,
+                                      {.limits = [] { return gateway::caller_limits{}; },
+                                       .handle =
+                                           [this](const incoming_request& request) {
+                                               answers.push_back(request.answer);
+                                               return nullptr;
+                                           }})}
+    {
+        fd_ = send_bytes(address_, requests);
+        run_main_loop();
+    }
+    ~half_closed_caller()
+    {
+        answers.clear();
+        close();
+    }
+    half_closed_caller(const half_closed_caller&) = delete;
+    half_closed_caller& operator=(const half_closed_caller&) = delete;
+
+    void end_input() const
+    {
+        ::shutdown(fd_, SHUT_WR);
+        run_main_loop();
+    }
+    void close()
+    {
+        if (fd_ >= 0) {
+            ::close(std::exchange(fd_, -1));
+        }
+        run_main_loop();
+    }
+    void respond(const std::string& body)
+    {
+        answers.back()->respond(http1::response_head{.status = 200}, body);
+        run_main_loop();
+    }
+    /// Reads until the server closes the connection. Returns false if it does not, or resets it.
+    bool read_to_end()
+    {
+        constexpr int attempts = 1000;
+        ::fcntl(fd_, F_SETFL, O_NONBLOCK);
+        for (int n = 0; n < attempts; ++n) {
+            std::array<char, 65536> buf{};
+            const ssize_t got = ::recv(fd_, buf.data(), buf.size(), 0);
+            if (got >= 0) {
+                received.append(buf.data(), static_cast<std::size_t>(got));
+            }
+            if (got == 0) {
+                return true;
+            }
+            if (got < 0 && errno != EAGAIN) {
+                return false;
+            }
+            run_main_loop();
+        }
+        return false;
+    }
+    [[nodiscard]] std::size_t connections() const { return server_->connections(); }
+
+    std::vector<std::shared_ptr<gateway::caller_port>> answers; ///< of the requests, in order
+    std::string received;
+
+private:
+    net::poller poller_;
+    fake_scheduler timers_;
+    net::endpoint address_ = unused_address();
+    std::unique_ptr<caller_server> server_;
+    int fd_ = -1;
+};
+
+constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view whole_get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+// Guards against a caller without an answer because it ended its input after its request.
+BOOST_AUTO_TEST_CASE(caller_that_ends_its_input_after_a_request_gets_its_answer)
+{
+    for (const std::string_view request :
+         {whole_get, std::string_view{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"}}) {
+        half_closed_caller it{request};
+        it.end_input();
+        BOOST_REQUIRE(it.answers.size() == 1U);
+        BOOST_TEST(!it.answers.back()->is_closed());
+        it.respond("whole");
+        BOOST_TEST(it.read_to_end());
+        BOOST_TEST(it.received.starts_with(interim));
+        BOOST_TEST(it.received.ends_with("\r\n\r\nwhole"));
+        BOOST_TEST(it.received.find("Connection: close") != std::string::npos);
+        BOOST_TEST(it.connections() == 0U);
+    }
+}
+
+// Guards against the same for a caller whose answer has begun.
+BOOST_AUTO_TEST_CASE(caller_that_ends_its_input_during_a_streamed_answer_gets_the_rest)
+{
+    half_closed_caller it{whole_get};
+    it.answers.back()->begin(http1::response_head{.status = 200});
+    it.answers.back()->piece("first");
+    run_main_loop();
+    it.end_input();
+    it.answers.back()->piece("second");
+    it.answers.back()->end();
+    run_main_loop();
+    BOOST_TEST(it.read_to_end());
+    BOOST_TEST(it.received.find(interim) == std::string::npos);
+    BOOST_TEST(it.received.find("second") != std::string::npos);
+    BOOST_TEST(it.received.ends_with(http1::last_chunk));
+}
+
+// Guards against dropping the unsent part of a large answer at the end of the caller's input.
+BOOST_AUTO_TEST_CASE(large_answer_is_complete_after_the_end_of_the_callers_input)
+{
+    constexpr std::size_t size = std::size_t{16} << 20U; // fills the socket buffers
+    half_closed_caller it{whole_get};
+    it.respond(std::string(size, 'x'));
+    it.end_input();
+    BOOST_TEST(it.read_to_end());
+    BOOST_TEST(it.received.size() > size);
+    BOOST_TEST(it.connections() == 0U);
+}
+
+// Guards against answering only the first of several requests that precede the end of the input.
+BOOST_AUTO_TEST_CASE(requests_sent_together_before_the_end_of_the_input_are_all_answered)
+{
+    half_closed_caller it{std::string{whole_get} + std::string{whole_get} + "GET / HT"};
+    it.end_input();
+    it.respond("first");
+    BOOST_REQUIRE(it.answers.size() == 2U);
+    it.respond("second");
+    BOOST_TEST(it.read_to_end());
+    BOOST_TEST(it.received.find("first") < it.received.find("second"));
+    BOOST_TEST(it.received.ends_with("second"));
+    BOOST_TEST(it.connections() == 0U);
+}
+
+// Guards against an interim response to a caller whose protocol version has none.
+BOOST_AUTO_TEST_CASE(half_closed_caller_of_http_1_0_gets_no_interim_response)
+{
+    half_closed_caller it{"GET / HTTP/1.0\r\n\r\n"};
+    it.end_input();
+    it.respond("whole");
+    BOOST_TEST(it.read_to_end());
+    BOOST_TEST(it.received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(it.received.ends_with("whole"));
+}
+
+// Guards against work for a caller that has closed its connection.
+BOOST_AUTO_TEST_CASE(request_of_a_caller_that_closed_its_connection_is_given_up)
+{
+    half_closed_caller waiting{whole_get};
+    waiting.close();
+    BOOST_TEST(waiting.answers.back()->is_closed());
+    BOOST_TEST(waiting.connections() == 0U);
+    half_closed_caller streaming{whole_get};
+    streaming.answers.back()->begin(http1::response_head{.status = 200});
+    streaming.close();
+    streaming.answers.back()->piece("first");
+    run_main_loop();
+    BOOST_TEST(streaming.answers.back()->is_closed());
+    BOOST_TEST(streaming.connections() == 0U);
+}
+
+// Guards against a connection that stays open because its request never becomes complete.
+BOOST_AUTO_TEST_CASE(connection_that_ends_inside_a_request_is_closed)
+{
+    half_closed_caller it{"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"};
+    it.end_input();
+    BOOST_TEST(it.read_to_end());
+    BOOST_TEST(it.received.empty());
+    BOOST_TEST(it.connections() == 0U);
+}
+
 // Guards against an overloaded host that reads what it cannot serve.
 BOOST_AUTO_TEST_CASE(new_connection_is_closed_unread_while_the_host_is_overloaded)
 {
