[agent] Fail engine answers that were cut short

Callers saw (by reading, from the call's result on): a 200 with an empty or short body, framed as whole, when an engine's connection ended early, and the status of a rejection that was cut short. Cause: libsoup 3.2.3 reports the end of the connection (FIN) as the end of the answer after any complete line of the head, at the line ends between chunks, and, with `Connection: close`, at any byte of a body with a length. Calls that may run once ask for `Connection: close`. A reset is an error, and event streams were safe, as they need their `[DONE]` line. Change: a plain answer is complete only if it has a body, the body has the announced length, and a JSON body parses as a whole. A rejection that isn't whole counts as a backend fault: it is reported without its status. A whole 200 or 204 without a body fails too, as a cut head looks the same; the caller interface has no request that is answered so.

--- a/src/engine_call.cpp
+++ b/src/engine_call.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_line_bytes = std::size_t{256} << 10U;
 constexpr std::string_view event_prefix = "data:";
 constexpr std::string_view done_event = "[DONE]";
+constexpr std::string_view json_type = "application/json";
 constexpr unsigned first_error_status = 400;
 
 std::uint64_t count_of(const nlohmann::json& object, const char* key)
@@ -100,6 +101,7 @@
     engine_call_hooks hooks;
     usage_reader reader;
     bool event_stream = false;
+    bool whole = false;
     bool over = false;
     wire::run_outcome cancel_reason = wire::run_outcome::cancelled;
     dispatch::call_result result;
@@ -183,6 +185,10 @@
     }
     auto* message = state->message.get();
     state->result.http_status = soup_message_get_status(message);
+    if (state->result.http_status >= first_error_status) {
+        state->event_stream = false;
+        state->reader = usage_reader{false};
+    }
     const char* type =
         soup_message_headers_get_one(soup_message_get_response_headers(message), "Content-Type");
     state->result.content_type = type == nullptr ? "application/octet-stream" : type;
@@ -224,13 +230,38 @@
         read_more(std::move(state));
         return;
     }
-    // The engine closed the stream. An event stream without its end mark was cut short: the caller
-    // must hear of it instead of taking the half for the whole.
-    const bool cut = state->event_stream && !state->reader.done_seen();
-    const bool failed = cut || state->result.http_status >= first_error_status;
+    if (!is_whole(*state)) {
+        finish(*state, wire::run_outcome::engine_error);
+        return;
+    }
+    const bool failed = state->result.http_status >= first_error_status;
+    state->whole = true;
     finish(*state, failed ? wire::run_outcome::engine_error : wire::run_outcome::complete);
 }
 
+// libsoup reports the end of the connection as the end of the answer after any line of the head,
+// between chunks, and before the announced length if the answer has `Connection: close`.
+bool engine_call::is_whole(const shared_state& state)
+{
+    if (state.event_stream) {
+        return state.reader.done_seen();
+    }
+    auto* headers = soup_message_get_response_headers(state.message.get());
+    const char* const length = soup_message_headers_get_one(headers, "Content-Length");
+    const std::string_view body = state.reader.plain_body();
+    if (body.empty()) {
+        return state.result.http_status >= first_error_status && length != nullptr &&
+               std::string_view{length} == "0";
+    }
+    const bool encoded = soup_message_headers_get_one(headers, "Content-Encoding") != nullptr;
+    if (!encoded && length != nullptr && length != std::to_string(body.size())) {
+        return false;
+    }
+    const bool is_json = g_ascii_strncasecmp(state.result.content_type.c_str(), json_type.data(),
+                                             json_type.size()) == 0;
+    return !is_json || nlohmann::json::parse(body, nullptr, false).is_structured();
+}
+
 void engine_call::finish(shared_state& state, wire::run_outcome outcome)
 {
     if (state.over) {
@@ -242,6 +273,9 @@
         g_input_stream_close(state.stream.get(), nullptr, nullptr);
     }
     state.result.outcome = outcome;
+    if (!state.whole && outcome == wire::run_outcome::engine_error) {
+        state.result.http_status = 0; // a rejection that was cut short is a backend fault
+    }
     state.result.used = state.reader.usage();
     state.hooks.over(state.result);
 }
--- a/src/engine_call.h
+++ b/src/engine_call.h
@@ -28,6 +28,11 @@
     void push(std::string_view bytes);
     [[nodiscard]] wire::usage usage() const;
     [[nodiscard]] bool done_seen() const noexcept { return done_; }
+    /// The body so far of an answer that is not an event stream.
+    [[nodiscard]] std::string_view plain_body() const noexcept
+    {
+        return event_stream_ ? std::string_view{} : std::string_view{rest_};
+    }
 
 private:
     void take_line(std::string_view line);
@@ -57,6 +62,7 @@
     static void on_sent(GObject* source, GAsyncResult* outcome, gpointer data);
     static void on_read(GObject* source, GAsyncResult* outcome, gpointer data);
     static void read_more(std::shared_ptr<shared_state> state);
+    static bool is_whole(const shared_state& state);
     static void finish(shared_state& state, wire::run_outcome outcome);
 
     std::shared_ptr<shared_state> state_;
--- a/tests/gateway/loopback_listener.h
+++ b/tests/gateway/loopback_listener.h
@@ -67,6 +67,15 @@
     std::uint16_t port_ = 0;
 };
 
+/// One listener for tests with many connections, without pending ones. Each listener of its own
+/// would keep its port in use until its connections have left TIME-WAIT.
+inline loopback_listener& shared_listener()
+{
+    static loopback_listener it;
+    it.accept_and_close();
+    return it;
+}
+
 /// Runs the main loop until no event is pending.
 inline void run_main_loop()
 {
