[cli] Fail operators' replies that were cut short

Operators saw: a verb took a 200 whose head or body was cut short for a whole reply, a change of records among them. Cause: libsoup reports the end of the connection (FIN) as the end of the reply after any complete line of the head and, with `Connection: close`, at any byte of the body. Change: a reply counts only if its body has the announced length, which the hosts send; the client asks for no content encoding, whose length would be another. Otherwise the status is 0 and the verb tries again, as after a lost connection; changes carry an identity of their own.

--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -29,6 +29,8 @@
 {
     const net::gobject_ptr<SoupSession> session{
         soup_session_new_with_options("timeout", timeout_s, nullptr)};
+    // The length of an encoded answer is not the one of its body.
+    soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
     if (!authority_.empty()) {
         const net::gobject_ptr<GTlsDatabase> database{
             g_tls_file_database_new(authority_.c_str(), nullptr)};
@@ -57,6 +59,13 @@
     operator_reply out{soup_message_get_status(message.get()),
                        n == 0 ? std::string{} : std::string{chars, n}};
     g_bytes_unref(answer);
+    // libsoup takes a head that ends with its connection after any line for a whole one, and with
+    // `Connection: close` any part of the body. Every host sends a length.
+    const char* const length = soup_message_headers_get_one(
+        soup_message_get_response_headers(message.get()), "Content-Length");
+    if (length == nullptr || length != std::to_string(n)) {
+        return {0, "the answer was cut short"};
+    }
     return out;
 }
 
