[gateway] Wait for addresses that are taken instead of ending

A host ended with exit code 4 ("cannot listen: Address already in use") if one of its five addresses was taken for a moment, also that of the metrics, or while its previous process drained. Callers had one host less; on a first start a site lost its quorum and acknowledged no configuration. There was no second attempt.

Each listener now waits on its own for its address, with an attempt every 100 ms, as long as the error passes by itself (EADDRINUSE, EADDRNOTAVAIL, lack of descriptors or buffers). Other errors still end the start, except for the metrics, without which the host serves. A host is not ready until it has listened for callers once. It links to other hosts only once it listens on its internal address: until then that may belong to its previous process, to which replies would go. SIGTERM ends a waiting host without the usual time for callers. One line tells the begin of each wait and one its end; `listeners_waiting` counts them. A data directory that cannot be opened is logged once per reason, not every 500 ms.

--- a/modules/net/include/hickorypost/net/listener.h
+++ b/modules/net/include/hickorypost/net/listener.h
@@ -1,17 +1,12 @@
 #pragma once
 
 #include "hickorypost/net/connector.h"
+#include "hickorypost/net/listen_error.h"
 
 #include <set>
 
 namespace hickorypost::net {
 
-/// An address could not be listened on.
-struct listen_error {
-    std::string address;
-    std::string detail;
-};
-
 /// Accepts links from other processes.
 class listener {
 public:
--- a/modules/net/src/listener.cpp
+++ b/modules/net/src/listener.cpp
@@ -1,5 +1,6 @@
 #include "hickorypost/net/listener.h"
 
+#include "hickorypost/net/listening_socket.h"
 #include "socket_priv.h"
 
 #include <utility>
@@ -46,23 +47,15 @@
                                                  link_hooks hooks)
 {
     std::unique_ptr<listener> out{new listener{std::move(self), tls, options, std::move(hooks)}};
-    const std::string text = address.host + ":" + std::to_string(address.port);
-    gobject_ptr<GSocketAddress> wanted{
-        g_inet_socket_address_new_from_string(address.host.c_str(), address.port)};
-    if (!wanted) {
-        return leaf::new_error(listen_error{text, "not an IP address"});
-    }
+    BOOST_LEAF_AUTO(socket, open_listening_socket(address));
     GError* raw = nullptr;
-    GSocketAddress* bound = nullptr;
-    g_socket_listener_add_address(G_SOCKET_LISTENER(out->service_.get()), wanted.get(),
-                                  G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr, &bound,
-                                  &raw);
-    if (raw != nullptr) {
+    if (g_socket_listener_add_socket(G_SOCKET_LISTENER(out->service_.get()), socket.get(), nullptr,
+                                     &raw) == FALSE) {
         const gerror_ptr error{raw};
-        return leaf::new_error(listen_error{text, error->message});
+        return leaf::new_error(listen_error{address.host, error->message});
     }
-    const gobject_ptr<GSocketAddress> keep{bound};
-    out->port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+    const gobject_ptr<GSocketAddress> bound{g_socket_get_local_address(socket.get(), nullptr)};
+    out->port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get()));
     g_signal_connect(out->service_.get(), "incoming", G_CALLBACK(on_incoming), out.get());
     g_socket_service_start(out->service_.get());
     return out;
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -1,9 +1,12 @@
 #include "gateway/caller_server.h"
 
 #include "gateway/caller_connection.h"
+#include "hickorypost/net/listen_error.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace hickorypost {
@@ -44,23 +47,50 @@
 {
     std::unique_ptr<caller_server> out{
         new caller_server{poller, timers, std::move(now), address, std::move(opts)}};
-    out->accepts_ = out->listen();
-    return out->accepts_ ? std::move(out) : nullptr;
+    out->accepts_ = true;
+    if (!out->listen()) {
+        const int error = errno;
+        if (!net::is_transient_listen_error(error)) {
+            out.reset();
+            errno = error;
+            return nullptr;
+        }
+        out->listen_failed(error);
+    }
+    return out;
 }
 
 bool caller_server::listen()
 {
     listener_ = net::tcp_listener::open(poller_, address_, [this](int fd) { accept(fd); });
-    if (listener_) {
-        address_.port = listener_->port();
+    if (!listener_) {
+        return false;
     }
-    return listener_ != nullptr;
+    address_.port = listener_->port();
+    has_listened_ = true;
+    if (const auto since = std::exchange(failed_since_, std::nullopt);
+        since && options_.listen_recovered) {
+        options_.listen_recovered(std::chrono::duration_cast<millis>(now_() - *since));
+    }
+    return true;
+}
+
+void caller_server::listen_failed(int error)
+{
+    const bool news = !failed_since_ || last_error_ != error;
+    failed_since_ = failed_since_.value_or(now_());
+    last_error_ = error;
+    if (news && options_.listen_failed) {
+        options_.listen_failed(error);
+    }
+    try_listen_after(listen_retry_delay);
 }
 
 void caller_server::stop_accepting()
 {
     accepts_ = false;
     listener_.reset();
+    failed_since_.reset();
     timers_.cancel(std::exchange(resume_timer_, 0));
 }
 
@@ -76,10 +106,7 @@
         }
         try_listen_after(min_listen_pause);
     } else if (!listener_ && unread_.has_room() && !listen()) {
-        if (options_.listen_failed) {
-            options_.listen_failed(errno);
-        }
-        try_listen_after(listen_retry_delay);
+        listen_failed(errno);
     }
 }
 
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -64,11 +64,15 @@
         std::function<void(std::string_view reason)> connection_refused = nullptr;
         /// Listening is paused because of overload.
         std::function<void()> listen_paused = nullptr;
-        /// Listening could not be resumed and will be tried again; an errno value.
+        /// Listening failed and is tried again until it succeeds; an errno value. Called once for
+        /// each change of the reason.
         std::function<void(int error)> listen_failed = nullptr;
+        /// Listening has succeeded, this long after it first failed.
+        std::function<void(millis waited)> listen_recovered = nullptr;
     };
 
-    /// Listens on `address`. Returns null and sets errno on failure.
+    /// Listens on `address`, or waits for it after a transient failure. Returns null and sets errno
+    /// after any other.
     static std::unique_ptr<caller_server> open(net::poller& poller, gateway::scheduler& timers,
                                                clock_fn now, const net::endpoint& address,
                                                options opts);
@@ -84,6 +88,10 @@
     /// Closes the listening socket, so that new callers are refused and use another host at once.
     void stop_accepting();
     [[nodiscard]] bool accepts() const noexcept { return accepts_; }
+    /// Whether the address has been listened on since the start.
+    [[nodiscard]] bool has_listened() const noexcept { return has_listened_; }
+    /// Whether listening has failed and is tried again.
+    [[nodiscard]] bool waits_for_address() const noexcept { return failed_since_.has_value(); }
     /// Ends all requests in flight with an immediate answer, because the process is about to exit.
     void finish_requests();
     /// Passes on to all exchanges that a suspect has become refused.
@@ -121,6 +129,7 @@
     void read(int fd);
     /// Listens on `address_`. Returns false and sets errno on failure.
     bool listen();
+    void listen_failed(int error);
     /// Closes the listening socket while the host is overloaded, as a connection that the kernel
     /// refuses takes none of this process's time. Listens again once the queue has room.
     void pause_or_resume_listening();
@@ -144,7 +153,10 @@
     std::uint64_t refused_ = 0;
     std::uint64_t inputs_ended_ = 0;
     std::uint64_t resume_timer_ = 0;
+    std::optional<instant> failed_since_; ///< first failure to listen since the last success
+    int last_error_ = 0;                  ///< errno of the last failure to listen
     bool accepts_ = false;
+    bool has_listened_ = false;
     bool draining_ = false;
 };
 
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -131,7 +131,10 @@
             return true;
         },
         [&](const storage::storage_error& error) {
-            env_.log->error("cannot open the data directory: {}", storage::describe(error));
+            if (auto reason = storage::describe(error); reason != open_failure_) {
+                env_.log->error("cannot open the data directory, trying again: {}", reason);
+                open_failure_ = std::move(reason);
+            }
             return false;
         });
     if (!opened) {
@@ -141,6 +144,7 @@
         next_reopen_ = now_() + reopen_delay;
         return;
     }
+    open_failure_.clear();
     env_.log->info("data directory open: {} replica of the control log, last index {}",
                    group_->core().role() == replog::replica_role::fresh ? "fresh" : "member",
                    group_->core().last_index());
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -141,6 +141,7 @@
     std::optional<gateway::group_founding> founding_; ///< set while the disk is open
     std::uint64_t disk_generation_ = 0; ///< tells completions of earlier openings of the disk apart
     instant next_reopen_;
+    std::string open_failure_; ///< why the data directory could not be opened; empty if it is open
 
     gateway::site_state state_;
     gateway::rollout_judge judge_;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -281,19 +281,19 @@
             return nullptr;
         };
     };
-    BOOST_LEAF_ASSIGN(
-        control_server_,
-        serve(config_.control, {control_limits, without_exchange([this](incoming_request request) {
-                                    control_calls_->handle(std::move(request));
-                                })}));
-    BOOST_LEAF_ASSIGN(
-        ready_server_,
-        serve(config_.ready, {control_limits, without_exchange([this](const auto& request) {
-                                  handle_ready(request);
-                              })}));
+    BOOST_LEAF_ASSIGN(control_server_,
+                      serve("control", config_.control,
+                            {control_limits, without_exchange([this](incoming_request request) {
+                                 control_calls_->handle(std::move(request));
+                             })}));
+    BOOST_LEAF_ASSIGN(ready_server_,
+                      serve("ready", config_.ready,
+                            {control_limits, without_exchange([this](const auto& request) {
+                                 handle_ready(request);
+                             })}));
     BOOST_LEAF_ASSIGN(
         callers_server_,
-        serve(config_.callers,
+        serve("callers", config_.callers,
               {[this] {
                    return route_table_ ? route_table_->config().limits : gateway::caller_limits{};
                },
@@ -301,16 +301,20 @@
                [this] { return can_serve(); }, config_.decisions.start_hold, nullptr,
                gateway::accept_queue_settings{}, max_caller_connections(),
                [this](std::string_view reason) { journal_.connection_refused(reason); },
-               [this] { journal_.listen_paused(); },
-               [this](int error) {
-                   env_.log->error("cannot listen for callers again: {}", std::strerror(error));
-               }}));
+               [this] { journal_.listen_paused(); }}));
     if (config_.metrics.port != 0) {
-        BOOST_LEAF_ASSIGN(
-            metrics_server_,
-            serve(config_.metrics, {control_limits, without_exchange([this](const auto& request) {
-                                        handle_metrics(request);
-                                    })}));
+        // The host serves requests without them.
+        metrics_server_ = value_or_handle<net::listen_error>(
+            [&] {
+                return serve("metrics", config_.metrics,
+                             {control_limits, without_exchange([this](const auto& request) {
+                                  handle_metrics(request);
+                              })});
+            },
+            [this](const net::listen_error& error) {
+                env_.log->error("no metrics: cannot listen on {}: {}", error.address, error.detail);
+                return std::unique_ptr<caller_server>{};
+            });
     }
     env_.metrics.on_collect([this](telemetry::metrics& metrics) { collect_metrics(metrics); });
     mesh_->dial(config_.seeds);
@@ -322,18 +326,35 @@
     return {};
 }
 
-result<std::unique_ptr<caller_server>> gateway_role::serve(const net::peer_address& address,
+result<std::unique_ptr<caller_server>> gateway_role::serve(std::string_view name,
+                                                           const net::peer_address& address,
                                                            caller_server::options options)
 {
     const std::string text = address.host + ":" + std::to_string(address.port);
     const auto endpoint = net::endpoint::parse(text);
+    if (!endpoint) {
+        return leaf::new_error(net::listen_error{text, "not an IPv4 address"});
+    }
     options.connection_lost = [this](const connection_loss& loss) { journal_.lost(loss); };
-    auto out = endpoint
-                   ? caller_server::open(poller_, timers_, env_.now, *endpoint, std::move(options))
-                   : nullptr;
+    options.listen_failed = [this, name, text](int error) {
+        env_.log->warn("{} listener waits for {}: {}", name, text, std::strerror(error));
+    };
+    options.listen_recovered = [this, name](millis waited) {
+        env_.log->info("{} listener open after {} ms", name, waited.count());
+    };
+    auto out = caller_server::open(poller_, timers_, env_.now, *endpoint, std::move(options));
     if (!out) {
-        return leaf::new_error(
-            net::listen_error{text, endpoint ? std::strerror(errno) : "not an IPv4 address"});
+        return leaf::new_error(net::make_listen_error(text, errno));
+    }
+    return out;
+}
+
+std::size_t gateway_role::listeners_waiting() const
+{
+    std::size_t out = mesh_->waits_for_address() ? 1 : 0;
+    for (const auto* const it : {callers_server_.get(), ready_server_.get(), control_server_.get(),
+                                 metrics_server_.get()}) {
+        out += it != nullptr && it->waits_for_address() ? 1 : 0;
     }
     return out;
 }
@@ -345,7 +366,7 @@
 
 bool gateway_role::ready() const
 {
-    return can_serve() && !draining_;
+    return can_serve() && callers_server_->has_listened() && !draining_;
 }
 
 void gateway_role::handle_ready(const incoming_request& request) const
@@ -599,6 +620,11 @@
     draining_ = true;
     drain_began_ = env_.now();
     callers_server_->begin_drain();
+    if (callers_server_->has_listened()) {
+        min_drain_time_ = min_drain_time;
+    } else {
+        callers_server_->stop_accepting(); // nobody has been told to send requests here
+    }
     control_->hand_over();
     drain_timer_ =
         net::timer::every(drain_check_period, [this, done = std::move(done)] { drain_step(done); });
@@ -610,12 +636,12 @@
     if (elapsed >= idle_close_delay) {
         callers_server_->close_idle();
     }
-    if (elapsed >= min_drain_time && callers_server_->accepts()) {
+    if (elapsed >= min_drain_time_ && callers_server_->accepts()) {
         callers_server_->stop_accepting();
         env_.log->info("no longer accepting callers; {} requests in flight",
                        callers_server_->in_flight());
     }
-    const bool callers_left = elapsed >= min_drain_time && callers_server_->connections() == 0;
+    const bool callers_left = elapsed >= min_drain_time_ && callers_server_->connections() == 0;
     const std::size_t pending = control_server_->pending_answers();
     if (callers_left && pending > 0 && !std::exchange(awaiting_control_responses_, true)) {
         env_.log->info("no callers left; finishing {} responses on the control port", pending);
@@ -657,6 +683,7 @@
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
     metrics.set("caller_inputs_ended", static_cast<double>(callers_server_->inputs_ended()));
+    metrics.set("listeners_waiting", static_cast<double>(listeners_waiting()));
     metrics.set("overloaded", callers_server_->is_overloaded() ? 1 : 0);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -21,7 +21,8 @@
 /// calls and backend servers' heartbeats, and replicates the control log.
 class gateway_role final : public role {
 public:
-    /// Opens all listeners and starts the host. Fails with `net::listen_error`.
+    /// Starts the host. Waits for addresses that are taken; fails with `net::listen_error` if an
+    /// address other than that of the metrics can never be listened on.
     static result<std::unique_ptr<gateway_role>> start(runtime& env);
     ~gateway_role() override;
     gateway_role(const gateway_role&) = delete;
@@ -47,9 +48,12 @@
 
     explicit gateway_role(runtime& env);
     result<void> open();
-    /// Listens on `address`. Fails with `net::listen_error`.
-    result<std::unique_ptr<caller_server>> serve(const net::peer_address& address,
-                                                 caller_server::options options);
+    /// Listens on `address`, or waits for it. `name`: of the listener in the log. Fails with
+    /// `net::listen_error`.
+    result<std::unique_ptr<caller_server>>
+    serve(std::string_view name, const net::peer_address& address, caller_server::options options);
+    /// Number of listeners that wait for their address.
+    [[nodiscard]] std::size_t listeners_waiting() const;
     /// Whether this host has a configuration that was confirmed as the newest, or that no leader
     /// could confirm in time.
     [[nodiscard]] bool can_serve() const;
@@ -127,6 +131,7 @@
     std::uint64_t refused_before_ = 0;
     bool draining_ = false;
     instant drain_began_;
+    millis min_drain_time_{0}; ///< time from the start of a drain for which callers are accepted
     bool awaiting_control_responses_ = false; ///< all callers are done, control calls are not
 };
 
--- a/src/gateway/peer_mesh.cpp
+++ b/src/gateway/peer_mesh.cpp
@@ -1,5 +1,9 @@
 #include "gateway/peer_mesh.h"
 
+#include <chrono>
+#include <optional>
+#include <utility>
+
 namespace hickorypost {
 
 namespace {
@@ -9,6 +13,7 @@
 constexpr millis link_heartbeat{400};
 constexpr millis link_silence{1300};
 constexpr millis max_redial_interval{400};
+constexpr millis listen_retry_delay{100};
 /// Ten times the longest transit time between failure domains. A host that is up accepts a
 /// connection well within this time.
 constexpr millis connect_timeout{300};
@@ -41,10 +46,53 @@
                                                    bool has_disk, mesh_hooks hooks)
 {
     std::unique_ptr<peer_mesh> out{new peer_mesh{env, self, has_disk, std::move(hooks)}};
-    BOOST_LEAF_CHECK(out->open_listener());
+    std::optional<net::listen_error> failure;
+    BOOST_LEAF_CHECK(leaf::try_handle_some([&]() -> result<void> { return out->open_listener(); },
+                                           [&](const net::listen_error& error) -> result<void> {
+                                               if (!error.transient) {
+                                                   return leaf::new_error(error);
+                                               }
+                                               failure = error;
+                                               return {};
+                                           }));
+    if (failure) {
+        out->wait_for_address(*failure);
+    }
     return out;
 }
 
+void peer_mesh::wait_for_address(const net::listen_error& failure)
+{
+    env_.log->warn("internal listener waits for {}: {}", failure.address, failure.detail);
+    listen_failure_ = failure.detail;
+    waits_since_ = env_.now();
+    listen_timer_ = net::timer::every(listen_retry_delay, [this] { retry_listening(); });
+}
+
+void peer_mesh::retry_listening()
+{
+    value_or_handle<net::listen_error>(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(open_listener());
+            return true;
+        },
+        [&](const net::listen_error& error) {
+            if (std::exchange(listen_failure_, error.detail) != error.detail) {
+                env_.log->warn("internal listener waits for {}: {}", error.address, error.detail);
+            }
+            return false;
+        });
+    if (!listener_) {
+        return;
+    }
+    listen_timer_.cancel();
+    env_.log->info("internal listener open after {} ms",
+                   std::chrono::duration_cast<millis>(env_.now() - waits_since_).count());
+    for (const auto& host : std::exchange(undialed_, {})) {
+        connect_to(host);
+    }
+}
+
 wire::hello peer_mesh::hello() const
 {
     auto out = env_.hello(has_disk_ ? wire::node_role::control : wire::node_role::entry);
@@ -101,6 +149,10 @@
     if (host == self_.host || connectors_.contains(host)) {
         return;
     }
+    if (!listener_) {
+        undialed_.insert(host);
+        return;
+    }
     net::link_hooks hooks;
     hooks.up = [this](net::link& it) { on_up(it); };
     hooks.message = [this](net::link& it, wire::message_type type, std::string_view body) {
--- a/src/gateway/peer_mesh.h
+++ b/src/gateway/peer_mesh.h
@@ -3,6 +3,7 @@
 #include "gateway/mesh_traffic.h"
 #include "hickorypost/net/connector.h"
 #include "hickorypost/net/listener.h"
+#include "hickorypost/net/timer.h"
 #include "hickorypost/wire/messages.h"
 #include "runtime.h"
 
@@ -28,7 +29,8 @@
 /// A host's id is its IP address, since all hosts listen on the same internal port.
 class peer_mesh {
 public:
-    /// `has_disk`: of this host. Fails with `net::listen_error`.
+    /// `has_disk`: of this host. Waits for an address that is taken. Fails with `net::listen_error`
+    /// if the address can never be listened on.
     static result<std::unique_ptr<peer_mesh>> open(runtime& env, const net::peer_address& self,
                                                    bool has_disk, mesh_hooks hooks);
 
@@ -36,7 +38,8 @@
     peer_mesh(const peer_mesh&) = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
 
-    /// Connects to hosts of which only the address is known.
+    /// Connects to hosts of which only the address is known, once this host listens: until then a
+    /// previous process of the host may still have links, on which its peers would send replies.
     void dial(const std::vector<node_id>& hosts);
     /// Adds a core host and connects to it. Returns false if it is already known.
     bool add_core_host(const wire::host_info& host);
@@ -71,10 +74,14 @@
     [[nodiscard]] std::vector<node_id> linked() const;
     [[nodiscard]] bool is_core(const node_id& host) const { return core_.contains(host); }
     [[nodiscard]] const node_id& self() const noexcept { return self_.host; }
+    /// Whether listening has failed and is tried again.
+    [[nodiscard]] bool waits_for_address() const noexcept { return listener_ == nullptr; }
 
 private:
     peer_mesh(runtime& env, net::peer_address self, bool has_disk, mesh_hooks hooks);
     result<void> open_listener();
+    void wait_for_address(const net::listen_error& failure);
+    void retry_listening();
     void connect_to(const node_id& host);
     void on_up(net::link& it);
     void on_down(net::link& it, std::string_view why);
@@ -92,7 +99,11 @@
     std::map<node_id, std::string> core_; ///< failure domain by host
     std::map<node_id, std::unique_ptr<net::connector>> connectors_;
     std::map<node_id, std::set<net::link*>> incoming_;
-    std::unique_ptr<net::listener> listener_;
+    std::unique_ptr<net::listener> listener_; ///< null while the address is taken
+    std::set<node_id> undialed_;              ///< hosts to connect to once this host listens
+    net::timer listen_timer_;
+    instant waits_since_;
+    std::string listen_failure_;
 };
 
 } // namespace hickorypost
