[roles] Handle signals from the beginning of a start

A SIGHUP in the first milliseconds of a process ended it, and a SIGTERM ended it without a clean shutdown: the handlers were installed once all roles had started. Callers had one host less.

They are now installed first, before the settings are read. A signal that arrives while the roles start is handled after it: SIGHUP reloads the settings, SIGTERM and SIGINT drain.

--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -5,11 +5,11 @@
 #include "entry_role.h"
 #include "gateway/gateway_role.h"
 #include "hickorypost/storage/file_system.h"
+#include "signal_watch.h"
 #include "verbs.h"
 
 #include <cstdlib>
 #include <filesystem>
-#include <glib-unix.h>
 #include <iostream>
 
 namespace hickorypost {
@@ -40,9 +40,10 @@
 /// The main loop with its roles. SIGTERM drains; a second SIGINT exits at once.
 class process {
 public:
-    explicit process(const settings& config)
-        : loop_{g_main_loop_new(nullptr, FALSE)}, spans_{config.node.trace_file, "hickorypost",
-                                                         config.node.name},
+    process(const settings& config, signal_watch& signals)
+        : signals_{signals}, loop_{g_main_loop_new(nullptr, FALSE)}, spans_{config.node.trace_file,
+                                                                            "hickorypost",
+                                                                            config.node.name},
           random_{system_random_fn()}, env_{config,
                                             random_(),
                                             system_clock_fn(),
@@ -58,6 +59,9 @@
 
     ~process()
     {
+        signals_.on_terminate = nullptr;
+        signals_.on_interrupt = nullptr;
+        signals_.on_hangup = nullptr;
         roles_.clear();
         g_main_loop_unref(loop_);
     }
@@ -100,36 +104,22 @@
 
     exit_code run()
     {
-        g_unix_signal_add(SIGTERM, on_signal, this);
-        g_unix_signal_add(SIGINT, on_interrupt, this);
-        g_unix_signal_add(SIGHUP, on_hangup, this);
+        signals_.on_terminate = [this] { shut_down(); };
+        signals_.on_interrupt = [this] { interrupt(); };
+        signals_.on_hangup = [this] { reload(); };
         g_main_loop_run(loop_);
         return code_;
     }
 
 private:
-    static gboolean on_signal(gpointer data)
+    void interrupt()
     {
-        static_cast<process*>(data)->shut_down();
-        return G_SOURCE_CONTINUE;
-    }
-
-    static gboolean on_interrupt(gpointer data)
-    {
-        auto* const self = static_cast<process*>(data);
-        if (self->draining_) {
-            self->env_.log->warn("second interrupt: ending at once");
-            g_main_loop_quit(self->loop_);
+        if (draining_) {
+            env_.log->warn("second interrupt: ending at once");
+            g_main_loop_quit(loop_);
         } else {
-            self->shut_down();
+            shut_down();
         }
-        return G_SOURCE_CONTINUE;
-    }
-
-    static gboolean on_hangup(gpointer data)
-    {
-        static_cast<process*>(data)->reload();
-        return G_SOURCE_CONTINUE;
     }
 
     void look_at_settings()
@@ -182,6 +172,7 @@
         g_main_loop_quit(loop_);
     }
 
+    signal_watch& signals_;
     GMainLoop* loop_;
     telemetry::metrics metrics_;
     telemetry::span_exporter spans_;
@@ -196,9 +187,9 @@
     exit_code code_ = exit_code::done;
 };
 
-exit_code run_with(const settings& config, std::string_view which)
+exit_code run_with(const settings& config, std::string_view which, signal_watch& signals)
 {
-    process it{config};
+    process it{config, signals};
     return leaf::try_handle_all(
         [&]() -> result<exit_code> {
             BOOST_LEAF_CHECK(it.start(which));
@@ -234,10 +225,11 @@
         std::cerr << "expected one settings file; see hickorypost help " << args[0] << "\n";
         return exit_code::usage;
     }
+    signal_watch signals; // before the settings are read: later signals must not end the process
     return value_or_handle<settings_error>(
         [&]() -> result<exit_code> {
             BOOST_LEAF_AUTO(config, load_settings(path));
-            return run_with(config, args[0]);
+            return run_with(config, args[0], signals);
         },
         [](const settings_error& error) {
             std::cerr << describe(error) << "\n";
