[roles] Wait for addresses and data directories at a start

A process with the role control, entry or agent ended with exit code 4 if one of its addresses was taken for a moment, or if its previous process still had the data directory; nothing was tried again, and callers and operators had one process less.

Such a role is now started again every 200 ms, with one line per reason. Roles of the same process that have started run on; SIGTERM meanwhile ends the process with exit code 0. Which errors pass by themselves is decided by the errno value, in one place for all listeners, so that the HTTP server opens its socket in the same way as the links. A control role opens its addresses before its groups, whose disks could call back into a role whose start has failed. Other faults still end the start with the same lines and exit codes.

--- a/src/control_role.cpp
+++ b/src/control_role.cpp
@@ -41,8 +41,9 @@
 {
     std::unique_ptr<control_role> out{new control_role{env}};
     BOOST_LEAF_ASSIGN(out->fs_, storage::posix_file_system::open(env.config.control->data));
-    BOOST_LEAF_CHECK(out->open_groups());
+    // First, as a group's disk may call back into a role whose start has failed.
     BOOST_LEAF_CHECK(out->open_network());
+    BOOST_LEAF_CHECK(out->open_groups());
     out->connect_peers();
     auto* raw = out.get();
     out->tick_timer_ = net::timer::every(tick_period, [raw] { raw->tick(); });
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include "hickorypost/net/listening_socket.h"
+
 #include <sys/socket.h>
 
 namespace hickorypost {
@@ -223,20 +225,16 @@
                                                        handler on_request)
 {
     std::unique_ptr<http_server> out{new http_server{max_body_bytes, std::move(on_request)}};
-    const std::string text = address.host + ":" + std::to_string(address.port);
-    const net::gobject_ptr<GSocketAddress> where{
-        g_inet_socket_address_new_from_string(address.host.c_str(), address.port)};
-    if (!where) {
-        return leaf::new_error(net::listen_error{text, "not an IP address"});
-    }
+    BOOST_LEAF_AUTO(socket, net::open_listening_socket(address));
     if (tls != nullptr) {
         soup_server_set_tls_certificate(out->server_.get(), tls->certificate());
     }
     GError* raw = nullptr;
     const auto flags = tls == nullptr ? SoupServerListenOptions{} : SOUP_SERVER_LISTEN_HTTPS;
-    if (soup_server_listen(out->server_.get(), where.get(), flags, &raw) == FALSE) {
+    if (soup_server_listen_socket(out->server_.get(), socket.get(), flags, &raw) == FALSE) {
         const net::gerror_ptr error{raw};
-        return leaf::new_error(net::listen_error{text, error->message});
+        return leaf::new_error(
+            net::listen_error{address.host + ":" + std::to_string(address.port), error->message});
     }
     GSList* uris = soup_server_get_uris(out->server_.get());
     out->port_ = static_cast<std::uint16_t>(g_uri_get_port(static_cast<GUri*>(uris->data)));
--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -9,7 +9,9 @@
 #include "verbs.h"
 
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
+#include <functional>
 #include <iostream>
 
 namespace hickorypost {
@@ -29,6 +31,9 @@
 /// Polling interval for changes of the settings file that no signal announces.
 constexpr millis settings_poll{2000};
 
+/// Interval of attempts to start a role whose address or data directory is taken.
+constexpr millis start_retry_delay{200};
+
 /// Time of the last write; the epoch if it is unknown.
 std::filesystem::file_time_type written_at(const std::string& path)
 {
@@ -68,7 +73,8 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
-    result<void> start(std::string_view which)
+    /// Loads the TLS identity and selects the roles.
+    result<void> prepare(std::string_view which)
     {
         const settings& config = env_.config;
         if (config.tls.on) {
@@ -76,42 +82,89 @@
                                                             config.tls.authority));
             env_.tls = &*tls_;
         }
-        const auto wanted = [&](std::string_view name) {
-            return which == name || which == "serve";
+        const auto add = [&](bool configured, std::string_view name, role_starter start) {
+            if (configured && (which == name || which == "serve")) {
+                to_start_.push_back(std::move(start));
+            }
         };
-        if (config.control && wanted("control")) {
-            BOOST_LEAF_AUTO(it, control_role::start(env_));
-            roles_.push_back(std::move(it));
-        }
-        if (config.agent && wanted("agent")) {
-            BOOST_LEAF_AUTO(it, agent_role::start(env_));
-            roles_.push_back(std::move(it));
-        }
-        if (config.entry && wanted("entry")) {
-            BOOST_LEAF_AUTO(it, entry_role::start(env_));
-            roles_.push_back(std::move(it));
-        }
-        if (config.gateway && wanted("gateway")) {
+        add(config.control.has_value(), "control", starter<control_role>());
+        add(config.agent.has_value(), "agent", starter<agent_role>());
+        add(config.entry.has_value(), "entry", starter<entry_role>());
+        add(config.gateway.has_value(), "gateway", [this]() -> result<std::unique_ptr<role>> {
             BOOST_LEAF_AUTO(it, gateway_role::start(env_));
-            roles_.push_back(std::move(it));
-            settings_written_ = written_at(config.path);
+            settings_written_ = written_at(env_.config.path);
             settings_timer_ = net::timer::every(settings_poll, [this] { look_at_settings(); });
-        }
+            return it;
+        });
         return {};
     }
 
-    [[nodiscard]] bool any_role() const noexcept { return !roles_.empty(); }
+    [[nodiscard]] bool any_role() const noexcept { return !to_start_.empty(); }
 
     exit_code run()
     {
         signals_.on_terminate = [this] { shut_down(); };
         signals_.on_interrupt = [this] { interrupt(); };
         signals_.on_hangup = [this] { reload(); };
-        g_main_loop_run(loop_);
+        start_roles();
+        if (code_ == exit_code::done) {
+            g_main_loop_run(loop_);
+        }
         return code_;
     }
 
 private:
+    using role_starter = std::function<result<std::unique_ptr<role>>()>;
+
+    template <class R>
+    role_starter starter()
+    {
+        return [this]() -> result<std::unique_ptr<role>> {
+            BOOST_LEAF_AUTO(it, R::start(env_));
+            return it;
+        };
+    }
+
+    /// Starts the roles that have not started. One that meets a transient fault is tried again.
+    void start_roles()
+    {
+        leaf::try_handle_all(
+            [&]() -> result<void> {
+                while (!to_start_.empty()) {
+                    BOOST_LEAF_AUTO(it, to_start_.front()());
+                    roles_.push_back(std::move(it));
+                    to_start_.pop_front();
+                }
+                start_timer_.cancel();
+                return {};
+            },
+            [&](const storage::storage_error& error) {
+                cannot_start(storage::describe(error),
+                             error.fault == storage::storage_fault::locked);
+            },
+            [&](const net::listen_error& error) {
+                cannot_start(error.address + ": cannot listen: " + error.detail, error.transient);
+            },
+            [&] { cannot_start("cannot start", false); });
+    }
+
+    void cannot_start(std::string why, bool transient)
+    {
+        if (!transient) {
+            std::cerr << "hickorypost: " << why << "\n";
+            code_ = exit_code::failed;
+            g_main_loop_quit(loop_);
+            return;
+        }
+        if (why != start_failure_) {
+            env_.log->warn("start waits: {}", why);
+            start_failure_ = std::move(why);
+        }
+        if (!start_timer_.armed()) {
+            start_timer_ = net::timer::every(start_retry_delay, [this] { start_roles(); });
+        }
+    }
+
     void interrupt()
     {
         if (draining_) {
@@ -155,7 +208,12 @@
         }
         draining_ = true;
         env_.log->info("shutting down: finishing what is in flight");
+        to_start_.clear();
+        start_timer_.cancel();
         left_ = roles_.size();
+        if (left_ == 0) {
+            g_main_loop_quit(loop_);
+        }
         for (auto& it : roles_) {
             it->drain([this, done = false]() mutable {
                 if (!std::exchange(done, true) && --left_ == 0) {
@@ -179,6 +237,9 @@
     random_fn random_;
     runtime env_;
     std::optional<net::tls_identity> tls_;
+    std::deque<role_starter> to_start_;
+    std::string start_failure_; ///< why the next role could not start; logged when it changes
+    net::timer start_timer_;
     std::vector<std::unique_ptr<role>> roles_;
     net::timer settings_timer_;
     std::filesystem::file_time_type settings_written_;
@@ -192,22 +253,13 @@
     process it{config, signals};
     return leaf::try_handle_all(
         [&]() -> result<exit_code> {
-            BOOST_LEAF_CHECK(it.start(which));
+            BOOST_LEAF_CHECK(it.prepare(which));
             if (!it.any_role()) {
                 std::cerr << config.path << ": expected a section [" << which << "]\n";
                 return exit_code::usage;
             }
             return it.run();
         },
-        [](const storage::storage_error& error) {
-            std::cerr << "hickorypost: " << storage::describe(error) << "\n";
-            return exit_code::failed;
-        },
-        [](const net::listen_error& error) {
-            std::cerr << "hickorypost: " << error.address << ": cannot listen: " << error.detail
-                      << "\n";
-            return exit_code::failed;
-        },
         [](const net::tls_error& error) {
             std::cerr << "hickorypost: " << error.path << ": " << error.detail << "\n";
             return exit_code::failed;
