[roles] Read settings again that are missing or just written

A process that started while its settings file was being written, or just before, ended with exit code 2, and callers had one host less until the next start.

A role now reads a file that cannot be read or is wrong again every 100 ms, for 2 s, if it is missing or was written less than 2 s ago. SIGTERM ends the wait. After that, and for an older file, the start ends at once with the same lines and exit code. A file that is cut off where the rest is valid cannot be told from a complete one, and is used; the next change of the file reloads what can be reloaded.

--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <optional>
 
 namespace hickorypost {
 
@@ -34,6 +35,11 @@
 /// Interval of attempts to start a role whose address or data directory is taken.
 constexpr millis start_retry_delay{200};
 
+/// A file that was written less than this ago may still be incomplete, and is read again for as
+/// long.
+constexpr millis settings_grace{2000};
+constexpr millis settings_retry_delay{100};
+
 /// Time of the last write; the epoch if it is unknown.
 std::filesystem::file_time_type written_at(const std::string& path)
 {
@@ -42,6 +48,15 @@
     return ec ? std::filesystem::file_time_type{} : out;
 }
 
+/// Whether the file may be missing or incomplete only because it is being written.
+bool may_be_unfinished(const std::string& path)
+{
+    std::error_code ec;
+    const auto written = std::filesystem::last_write_time(path, ec);
+    return ec ? ec == std::errc::no_such_file_or_directory
+              : std::filesystem::file_time_type::clock::now() - written < settings_grace;
+}
+
 /// The main loop with its roles. SIGTERM drains; a second SIGINT exits at once.
 class process {
 public:
@@ -278,15 +293,30 @@
         return exit_code::usage;
     }
     signal_watch signals; // before the settings are read: later signals must not end the process
-    return value_or_handle<settings_error>(
-        [&]() -> result<exit_code> {
-            BOOST_LEAF_AUTO(config, load_settings(path));
-            return run_with(config, args[0], signals);
-        },
-        [](const settings_error& error) {
-            std::cerr << describe(error) << "\n";
+    const clock_fn now = system_clock_fn();
+    const instant give_up = now() + settings_grace;
+    for (;;) {
+        std::string faults;
+        const auto config = value_or_handle<settings_error>(
+            [&]() -> result<std::optional<settings>> {
+                BOOST_LEAF_AUTO(it, load_settings(path));
+                return std::optional{std::move(it)};
+            },
+            [&](const settings_error& error) {
+                faults = describe(error);
+                return std::optional<settings>{};
+            });
+        if (config) {
+            return run_with(*config, args[0], signals);
+        }
+        if (now() >= give_up || !may_be_unfinished(path)) {
+            std::cerr << faults << "\n";
             return exit_code::usage;
-        });
+        }
+        if (!signals.wait_for(settings_retry_delay)) {
+            return exit_code::done;
+        }
+    }
 }
 
 } // namespace hickorypost
