[gateway] Retry on a new connection after a kept one was closed

Cause: a kept connection that the backend server closes under a request was reported like a new one that it closes. The exchange excluded the backend server, which may be the only one, and its next attempt took another kept connection. Log and metrics told none of this apart. Change: attempt_fault::stale for a reused connection that the peer closed or reset before any byte of an answer. The next attempts of the request use new connections and may go to the same backend server; at the connection limit the oldest idle connection makes room. The failure does not count against the backend server, unless the check for a crash finds it gone. It still counts against MaxAttempts and the retry budget, as the request may have run; requests that are not idempotent are not sent again. If no byte of this request was written (stale_unsent, before: taken for sent because of earlier requests), any request is sent again. A connection whose close has arrived but has not been read is not taken. The reasons "kept connection closed without an answer" and "kept connection closed before the request was sent" are logged; backend_connections_stale counts both.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -261,6 +261,9 @@
     void reject_for_limits();
     void end_attempt(attempt_result how);
     void retry(std::string_view why);
+    /// Excludes the backend server of the last attempt from the next ones, unless only its
+    /// connection failed.
+    void exclude_tried_backend();
     void handle_not_executed(const backend_answer& answer);
     /// False for statuses that callers take for "not run" if the request must not run twice: the
     /// backend server that answers it has not said that it did not run it.
@@ -343,6 +346,9 @@
     std::uint32_t unsent_attempts_ = 0;       ///< attempts that reached no backend server
     bool attempt_counted_ = false;            ///< `sent_attempts_` includes the current attempt
     bool may_have_run_ = false;
+    bool connection_was_stale_ = false; ///< of the last attempt
+    /// A reused connection was closed under this request; further ones may be closed as well.
+    bool needs_new_connection_ = false;
     bool reading_paused_ = false;    ///< of the current attempt, as the caller has much unread
     std::uint64_t admission_id_ = 0; ///< in `services_.admission`; 0: has not waited
     instant queued_at_;
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -71,7 +71,11 @@
     /// no requests, or the request became refused.
     withheld,
     silent, ///< the connection hung or was lost before an answer
-    broken, ///< the answer was truncated or malformed
+    /// The backend server closed a reused connection before an answer. That says nothing about the
+    /// backend server, which may close idle connections at any time.
+    stale,
+    stale_unsent, ///< like `stale`, and no byte of the request left this process
+    broken,       ///< the answer was truncated or malformed
 };
 
 std::string_view describe(attempt_fault fault) noexcept;
@@ -108,6 +112,7 @@
     std::string service;
     std::uint32_t max_connections = 0; ///< that the backend server accepts from all hosts together
     std::string name; ///< of the backend server, by which it tells whether a request is for it
+    bool new_connection = false; ///< a kept connection must not be reused
 };
 
 /// Sends requests to backend servers and owns the connections.
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -34,6 +34,10 @@
         return "backend server asked for no requests before this one was sent";
     case attempt_fault::silent:
         return "connection lost without an answer";
+    case attempt_fault::stale:
+        return "kept connection closed without an answer";
+    case attempt_fault::stale_unsent:
+        return "kept connection closed before the request was sent";
     case attempt_fault::broken:
         return "answer truncated or malformed";
     }
@@ -279,6 +283,7 @@
     attempt_first_event_at_ = {};
     attempt_covers_whole_stream_ = !order.last_event_id;
     attempt_counted_ = false;
+    connection_was_stale_ = false;
     reading_paused_ = false;
     stage_ = stage_ == stage::relaying ? stage::relaying : stage::awaiting_head;
     events_.restart();
@@ -294,8 +299,9 @@
         services_.work_admitted(record_.account, ticket_->prefill_ms);
     }
     record_.attempt_first_ms = 0;
-    target_ = {to.record.id, to.record.address, record_.service,
-               service_ == nullptr ? 0 : service_->max_connections, to.record.name};
+    target_ = {to.record.id,    to.record.address,
+               record_.service, service_ == nullptr ? 0 : service_->max_connections,
+               to.record.name,  needs_new_connection_};
     current_attempt_ = services_.backends.start(target_, services_.write_head(request_, order),
                                                 request_.body, request_.method == "HEAD", *this);
     restart_silence_timer();
@@ -341,13 +347,20 @@
         return;
     }
     services_.note(record_, "resumed", why);
-    tried_backends_.push_back(record_.backend);
+    exclude_tried_backend();
     try_attempt();
 }
 
+void exchange::exclude_tried_backend()
+{
+    if (!connection_was_stale_) {
+        tried_backends_.push_back(record_.backend);
+    }
+}
+
 void exchange::retry(std::string_view why)
 {
-    tried_backends_.push_back(record_.backend);
+    exclude_tried_backend();
     stage_ = stage::awaiting_head;
     const bool allowed = !may_have_run_ || is_retryable();
     if (!allowed || unsent_attempts_ >= services_.settings.max_connect_attempts ||
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -309,7 +309,10 @@
 
 void exchange::on_fault(attempt_fault fault)
 {
-    const bool sent = fault == attempt_fault::silent || fault == attempt_fault::broken;
+    const bool sent = fault == attempt_fault::silent || fault == attempt_fault::broken ||
+                      fault == attempt_fault::stale;
+    connection_was_stale_ = fault == attempt_fault::stale || fault == attempt_fault::stale_unsent;
+    needs_new_connection_ = needs_new_connection_ || connection_was_stale_;
     const bool head_seen = stage_ != stage::awaiting_head;
     if (sent) {
         count_sent_attempt();
@@ -323,7 +326,7 @@
     const bool broke = fault == attempt_fault::broken || head_seen;
     if (fault == attempt_fault::no_room) {
         end_attempt(attempt_result::refused);
-    } else if (fault == attempt_fault::withheld) {
+    } else if (fault == attempt_fault::withheld || connection_was_stale_) {
         end_attempt(attempt_result::dropped);
     } else {
         end_attempt(broke ? attempt_result::failed : attempt_result::unreachable);
--- a/modules/gateway/src/exchange_crashes.cpp
+++ b/modules/gateway/src/exchange_crashes.cpp
@@ -79,8 +79,9 @@
     const bool waits = is_retryable();
     crash_watch::result_fn proceed;
     if (waits) {
-        proceed = [this, why](bool) {
+        proceed = [this, why](bool ended) {
             crash_check_id_ = 0;
+            connection_was_stale_ = connection_was_stale_ && !ended;
             continue_after_break(why);
         };
     }
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -72,9 +72,13 @@
     /// closes. Requires that nothing is unsent.
     void shut_down_output() const;
     [[nodiscard]] std::size_t unsent() const noexcept { return out_.size(); }
-    /// Some bytes were handed to the kernel, so the peer may have read them.
-    [[nodiscard]] bool sent_any() const noexcept { return sent_any_; }
+    /// Bytes that were handed to the kernel, so that the peer may have read them.
+    [[nodiscard]] std::uint64_t sent_bytes() const noexcept { return sent_bytes_; }
     [[nodiscard]] bool open() const noexcept { return fd_ >= 0; }
+    /// Whether the stream is open and neither bytes nor the peer's close have arrived unread.
+    [[nodiscard]] bool is_quiet() const;
+    /// Whether the peer closed or reset the connection, as opposed to one that timed out.
+    [[nodiscard]] bool ended_by_peer() const noexcept;
 
     void ready(std::uint32_t events) override;
     void flush() override;
@@ -102,7 +106,8 @@
     bool readable_ = false;
     bool peer_closed_ = false;
     bool blocked_ = false;
-    bool sent_any_ = false;
+    std::uint64_t sent_bytes_ = 0;
+    int error_ = 0;              ///< errno of the lost connection; 0: none
     bool broken_ = false;        ///< a write found the connection reset or timed out
     bool input_ended_ = false;   ///< the stream is open for output only
     bool output_failed_ = false; ///< a write found the connection closed
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -164,7 +164,7 @@
     while (fd_ >= 0 && connected_ && !out_.empty()) {
         const ssize_t n = send(fd_, out_.pending().data(), out_.size(), MSG_NOSIGNAL);
         if (n > 0) {
-            sent_any_ = true;
+            sent_bytes_ += static_cast<std::uint64_t>(n);
             out_.consume(static_cast<std::size_t>(n));
             continue;
         }
@@ -190,12 +190,25 @@
     // The kernel reports the error of a connection only once, here or in `recv`. EPIPE is no such
     // error: it follows the peer's orderly end, or an error that has been reported before.
     broken_ = broken_ || error != EPIPE;
+    error_ = error == EPIPE ? error_ : error;
     output_failed_ = true;
     if (input_ended_) {
         poller_->flush_later(*this); // not now: the caller may be in the middle of a hook
     }
 }
 
+bool tcp_stream::is_quiet() const
+{
+    char next = 0;
+    return fd_ >= 0 && ::recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EINTR);
+}
+
+bool tcp_stream::ended_by_peer() const noexcept
+{
+    return input_ended_ || error_ == ECONNRESET;
+}
+
 void tcp_stream::close()
 {
     set_hooks({});
@@ -327,6 +340,7 @@
             readable_ = false;
             return;
         }
+        error_ = n < 0 ? errno : error_;
         if (n == 0 && !broken_) {
             end_input();
         } else {
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -71,6 +71,7 @@
         interim_responses_ = 0;
         parser_.begin(bodyless);
         if (stream_) {
+            sent_before_ = stream_->sent_bytes();
             // The answer before may have ended while reading was paused for its caller.
             stream_->set_reading(true);
             stream_->write(head);
@@ -96,6 +97,7 @@
     /// Starts the idle timeout.
     void on_idle()
     {
+        reused_ = true;
         set_timer(idle_timeout_, [this] {
             close();
             pool_.remove(this);
@@ -104,11 +106,12 @@
 
     void cancel_idle_timer() { pool_.timers_.cancel(std::exchange(timer_, 0)); }
     /// Fails the request in flight.
-    void abort() { fail(fault_on_close()); }
+    void abort() { fail(sent_any() ? fault_after_sending() : gateway::attempt_fault::not_sent); }
     [[nodiscard]] const std::string& backend() const noexcept { return target_.backend; }
     /// Connections that the backend server accepts from all hosts together; 0: any number.
     [[nodiscard]] std::uint32_t limit() const noexcept { return target_.max_connections; }
-    [[nodiscard]] bool usable() const noexcept { return stream_ && stream_->open(); }
+    /// Whether the idle connection is open as far as this process can know.
+    [[nodiscard]] bool usable() const { return stream_ && stream_->is_quiet(); }
 
 private:
     void set_timer(millis after, std::function<void()> hook)
@@ -264,18 +267,32 @@
                 return;
             }
         }
-        fail(fault_on_close());
+        const auto fault = fault_on_end();
+        pool_.stale_ +=
+            fault == gateway::attempt_fault::stale || fault == gateway::attempt_fault::stale_unsent
+                ? 1
+                : 0;
+        fail(fault);
     }
 
-    /// Fault of the request in flight if its connection closes now.
-    [[nodiscard]] gateway::attempt_fault fault_on_close() const
+    /// Whether any byte of the request in flight may have left this process.
+    [[nodiscard]] bool sent_any() const { return stream_ && stream_->sent_bytes() > sent_before_; }
+
+    [[nodiscard]] gateway::attempt_fault fault_after_sending() const
     {
-        if (!stream_ || !stream_->sent_any()) {
-            return gateway::attempt_fault::not_sent;
-        }
         return received_bytes_ ? gateway::attempt_fault::broken : gateway::attempt_fault::silent;
     }
 
+    /// Fault of the request in flight if its connection has ended.
+    [[nodiscard]] gateway::attempt_fault fault_on_end() const
+    {
+        const bool stale = reused_ && !received_bytes_ && stream_->ended_by_peer();
+        if (!sent_any()) {
+            return stale ? gateway::attempt_fault::stale_unsent : gateway::attempt_fault::not_sent;
+        }
+        return stale ? gateway::attempt_fault::stale : fault_after_sending();
+    }
+
     backend_pool& pool_;
     gateway::attempt_target target_;
     std::unique_ptr<net::tcp_stream> stream_;
@@ -284,6 +301,8 @@
     std::uint64_t timer_ = 0;
     millis idle_timeout_;
     std::size_t interim_responses_ = 0;
+    std::uint64_t sent_before_ = 0; ///< bytes sent before the request in flight
+    bool reused_ = false;           ///< has carried a request before
     bool bodyless_ = false;
     bool head_delivered_ = false;
     bool skipping_ = false;
@@ -415,12 +434,25 @@
     return nullptr;
 }
 
+bool backend_pool::close_oldest_idle(const std::string& backend)
+{
+    const auto found = idle_.find(backend);
+    if (found == idle_.end() || found->second.empty()) {
+        return false;
+    }
+    found->second.front()->cancel_idle_timer();
+    found->second.pop_front();
+    return true;
+}
+
 std::unique_ptr<gateway::attempt> backend_pool::start(const gateway::attempt_target& target,
                                                       std::string head, std::string_view body,
                                                       bool bodyless,
                                                       gateway::attempt_events& events)
 {
-    auto conn = take_idle(target.backend);
+    auto conn = target.new_connection ? nullptr : take_idle(target.backend);
+    while (!conn && !has_capacity(target) && close_oldest_idle(target.backend)) {
+    }
     if (!conn && !has_capacity(target)) {
         return std::make_unique<rejected_attempt>(*this, events);
     }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -70,6 +70,8 @@
     [[nodiscard]] std::size_t busy_connections() const noexcept { return busy_.size(); }
     /// Number of connections opened since construction.
     [[nodiscard]] std::uint64_t opened_connections() const noexcept { return opened_; }
+    /// Number of requests whose reused connection was closed before an answer.
+    [[nodiscard]] std::uint64_t stale_connections() const noexcept { return stale_; }
 
 private:
     class connection;
@@ -82,6 +84,8 @@
     void remove(connection* conn);
     /// Takes the idle connection that was used last; null if there is none.
     std::unique_ptr<connection> take_idle(const std::string& backend);
+    /// Closes the connection to a backend server that has been idle longest. False if none is idle.
+    bool close_oldest_idle(const std::string& backend);
     /// Whether a further connection stays within this host's share of the limit.
     [[nodiscard]] bool has_capacity(const gateway::attempt_target& target) const;
     [[nodiscard]] gateway::connection_use use_of(const std::string& backend) const;
@@ -104,6 +108,7 @@
     std::vector<std::unique_ptr<connection>> closed_; ///< destroyed in the next main loop iteration
     std::uint64_t closed_timer_ = 0;
     std::uint64_t opened_ = 0;
+    std::uint64_t stale_ = 0;
 };
 
 } // namespace hickorypost
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -681,6 +681,7 @@
     metrics.set("backend_connections{state=\"busy\"}",
                 static_cast<double>(pool_.busy_connections()));
     metrics.set("backend_connections_opened", static_cast<double>(pool_.opened_connections()));
+    metrics.set("backend_connections_stale", static_cast<double>(pool_.stale_connections()));
     metrics.set("caller_connections", static_cast<double>(callers_server_->connections()));
     metrics.set("caller_inputs_ended", static_cast<double>(callers_server_->inputs_ended()));
     metrics.set("listeners_waiting", static_cast<double>(listeners_waiting()));
