[http1] Ignore blank lines before a request line

Callers saw: 400 for a request with a blank line before its request line, as some callers send after the body of the request before. RFC 9112, section 2.2, says that a server should ignore at least one. Change: request_parser skips up to eight such lines (CRLF only); more are malformed, as are other line breaks and blank lines before a response. They do not begin a request, so that the idle timeout of a connection goes on and a caller cannot hold it as a request in progress. On the code before, blank_lines_before_a_request_line_are_ignored fails with "critical check it.done() has failed" and blank_lines_do_not_begin_a_request with "check !it.begun() has failed".

--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -18,6 +18,10 @@
 using error_code = boost::beast::error_code;
 using view = boost::beast::string_view;
 
+/// Blank lines before a request line. Some callers send one after the body of a request.
+constexpr std::size_t max_blank_lines = 8;
+constexpr std::string_view blank_line = "\r\n";
+
 /// Of a response's head; replicas send a few hundred bytes.
 constexpr std::uint32_t response_head_limit = 32U << 10U;
 
@@ -112,18 +116,25 @@
     {
     }
 
-    /// Returns the number of bytes that have been read. While the head is incomplete that is 0, and
-    /// the next call must pass the same bytes again, followed by those that have arrived since.
+    /// Returns the number of bytes that have been read. While the head is incomplete that is the
+    /// length of the blank lines before it; the next call must pass the other bytes again, followed
+    /// by those that have arrived since.
     std::size_t read(std::string_view bytes)
     {
         if (done_ || fault_ != parse_fault::none) {
             return 0;
         }
         std::size_t used = 0;
+        if (is_request && !head_begun_) {
+            used = skip_blank_lines(bytes);
+            if (!head_begun_) {
+                return used;
+            }
+        }
         if (!head_done_) {
-            used = read_head(bytes);
+            used += read_head(bytes.substr(used));
             if (!head_done_) {
-                return 0;
+                return used;
             }
         }
         return used + read_body(bytes.substr(used));
@@ -140,6 +151,8 @@
         }
     }
 
+    /// Whether bytes of a request line have arrived.
+    [[nodiscard]] bool head_begun() const noexcept { return head_begun_; }
     [[nodiscard]] bool head_done() const noexcept { return head_done_; }
     [[nodiscard]] bool done() const noexcept { return done_; }
     [[nodiscard]] parse_fault fault() const noexcept { return fault_; }
@@ -148,6 +161,21 @@
     std::string body;
 
 private:
+    /// Returns the length of the blank lines at the start of `bytes`.
+    std::size_t skip_blank_lines(std::string_view bytes)
+    {
+        std::size_t out = 0;
+        while (bytes.substr(out).starts_with(blank_line)) {
+            out += blank_line.size();
+            if (++blank_lines_ > max_blank_lines) {
+                fault_ = parse_fault::malformed;
+                return out;
+            }
+        }
+        head_begun_ = !blank_line.starts_with(bytes.substr(out));
+        return out;
+    }
+
     std::size_t read_head(std::string_view bytes)
     {
         const std::size_t length = scanner_.scan(bytes);
@@ -222,7 +250,9 @@
     head_scanner scanner_;
     chunk_decoder chunks_;
     framing body_ = framing::none;
-    std::uint64_t missing_ = 0; ///< bytes of a sized body
+    std::uint64_t missing_ = 0;   ///< bytes of a sized body
+    std::size_t blank_lines_ = 0; ///< before a request line
+    bool head_begun_ = false;     ///< of a request
     bool start_line_checked_ = false;
     bool head_done_ = false;
     bool done_ = false;
@@ -270,7 +300,7 @@
 
 bool request_parser::begun() const noexcept
 {
-    return !buffer_.empty() || state_->head_done();
+    return state_->head_done() || (state_->head_begun() && !buffer_.empty());
 }
 
 bool request_parser::head_done() const noexcept
--- a/modules/http1/tests/parser_test.cpp
+++ b/modules/http1/tests/parser_test.cpp
@@ -59,6 +59,58 @@
     BOOST_TEST(!it.begun());
 }
 
+// Guards against refusing callers that send a line break after the body of a request.
+BOOST_AUTO_TEST_CASE(blank_lines_before_a_request_line_are_ignored)
+{
+    const std::string text = "\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+                             "\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        request_parser it{{}};
+        it.push(std::string_view{text}.substr(0, cut));
+        it.push(std::string_view{text}.substr(cut));
+        BOOST_REQUIRE(it.done());
+        BOOST_TEST(it.head().target == "/1");
+        BOOST_TEST(it.body() == "ab");
+        it.next();
+        BOOST_REQUIRE(it.done());
+        BOOST_TEST(it.head().target == "/2");
+    }
+    request_parser it{{}};
+    drip(it, text.substr(0, text.find("ab") + 2));
+    BOOST_REQUIRE(it.done());
+    BOOST_TEST(it.head().target == "/1");
+}
+
+// Guards against a caller that holds a connection as a request in progress by sending blank lines.
+BOOST_AUTO_TEST_CASE(blank_lines_do_not_begin_a_request)
+{
+    request_parser it{{}};
+    for (const std::string_view bytes : {"\r", "\n", "\r\n", "\r\n\r"}) {
+        it.push(bytes);
+        BOOST_TEST(!it.begun());
+    }
+    it.push("\nG");
+    BOOST_TEST(it.begun());
+}
+
+// Guards against blank lines without end, and against other line breaks that pass for one.
+BOOST_AUTO_TEST_CASE(blank_lines_are_bounded)
+{
+    request_parser endless{{}};
+    for (int n = 0; n < 100; ++n) {
+        endless.push("\r\n");
+    }
+    BOOST_TEST((endless.fault() == parse_fault::malformed));
+    for (const std::string_view start : {"\n", "\r\r\n", " \r\n", "\r\n\n"}) {
+        request_parser it{{}};
+        it.push(std::string{start} + "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_TEST((it.fault() == parse_fault::malformed), "accepted");
+    }
+    response_parser answer;
+    answer.push("\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(!answer.head_done());
+}
+
 // A caller hides a second request in the body of the first by naming two lengths. Two readers that
 // choose different ones would see different requests; such a message must be refused.
 BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused)
