[gateway] Do not reuse connections that a backend server closes after one answer

Callers saw: with a backend server that answers once per connection and does not say so, each request that finds a kept connection loses its first attempt. Requests that are not idempotent get 502, and the others use up the retry budget. Cause: the pool knows only announced ends of connections (Connection: close, Keep-Alive timeout). Change: connection_reuse counts, for each backend server incarnation, stale connections in a row. From the second one on its connections are closed after each answer, for 1 s, then one stale connection doubles the pause, up to 60 s. An answer on a reused connection clears the count, and connections that were lost together count once, so that a healthy server gets no more new connections than before.

--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -72,6 +72,7 @@
         parser_.begin(bodyless);
         if (stream_) {
             sent_before_ = stream_->sent_bytes();
+            begun_at_ = pool_.now_();
             // The answer before may have ended while reading was paused for its caller.
             stream_->set_reading(true);
             stream_->write(head);
@@ -154,7 +155,9 @@
             pool_.remove(this);
             return;
         }
-        received_bytes_ = true;
+        if (!std::exchange(received_bytes_, true) && reused_) {
+            pool_.reuse_.answered(target_.backend);
+        }
         parser_.push(bytes);
         advance();
     }
@@ -233,7 +236,7 @@
         // Unsent bytes mean that the backend server responded before it had read the whole request;
         // extra bytes belong to no response. Neither kind of connection can be reused.
         const bool reusable = keep_alive_ && !parser_.has_extra() && stream_ && stream_->open() &&
-                              stream_->unsent() == 0;
+                              stream_->unsent() == 0 && pool_.reuse_.allows(target_.backend);
         if (reusable) {
             pool_.make_idle(this);
         } else {
@@ -268,10 +271,10 @@
             }
         }
         const auto fault = fault_on_end();
-        pool_.stale_ +=
-            fault == gateway::attempt_fault::stale || fault == gateway::attempt_fault::stale_unsent
-                ? 1
-                : 0;
+        if (fault == gateway::attempt_fault::stale ||
+            fault == gateway::attempt_fault::stale_unsent) {
+            pool_.record_stale(target_.backend, begun_at_);
+        }
         fail(fault);
     }
 
@@ -302,6 +305,7 @@
     millis idle_timeout_;
     std::size_t interim_responses_ = 0;
     std::uint64_t sent_before_ = 0; ///< bytes sent before the request in flight
+    instant begun_at_;              ///< when the request in flight was given to the connection
     bool reused_ = false;           ///< has carried a request before
     bool bodyless_ = false;
     bool head_delivered_ = false;
@@ -365,7 +369,7 @@
                            backend_pool_settings settings)
     : poller_{poller}, timers_{timers}, now_{std::move(now)}, use_{std::move(use)},
       changed_{std::move(changed)}, may_send_{std::move(may_send)}, settings_{settings},
-      share_{settings.share}
+      share_{settings.share}, reuse_{settings.reuse, now_}
 {
 }
 
@@ -466,6 +470,15 @@
     return std::make_unique<pooled_attempt>(*this, started);
 }
 
+void backend_pool::record_stale(const std::string& backend, instant sent)
+{
+    ++stale_;
+    reuse_.stale(backend, sent);
+    if (!reuse_.allows(backend)) {
+        close_idle(backend);
+    }
+}
+
 void backend_pool::make_idle(connection* conn)
 {
     const auto found = busy_.find(conn);
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hickorypost/gateway/connection_reuse.h"
 #include "hickorypost/gateway/connection_share.h"
 #include "hickorypost/gateway/exchange_types.h"
 #include "hickorypost/http1/parser.h"
@@ -26,6 +27,7 @@
     /// so that it could not be retried.
     double idle_timeout_fraction = 0.6;
     gateway::connection_share_settings share;
+    gateway::connection_reuse_settings reuse;
     /// Interim responses (1xx) before the final one. A backend server that sends more is taken for
     /// one that never ends its answer.
     std::size_t max_interim_responses = 32;
@@ -84,6 +86,8 @@
     void remove(connection* conn);
     /// Takes the idle connection that was used last; null if there is none.
     std::unique_ptr<connection> take_idle(const std::string& backend);
+    /// Counts a reused connection that was closed before an answer to the request sent at `sent`.
+    void record_stale(const std::string& backend, instant sent);
     /// Closes the connection to a backend server that has been idle longest. False if none is idle.
     bool close_oldest_idle(const std::string& backend);
     /// Whether a further connection stays within this host's share of the limit.
@@ -99,6 +103,7 @@
     may_send_fn may_send_;
     backend_pool_settings settings_;
     gateway::connection_share share_;
+    gateway::connection_reuse reuse_;
     /// Number of open connections by backend server incarnation. Declared before the connections,
     /// whose destructors decrement it.
     std::map<std::string, std::size_t> open_count_;
--- a/tests/gateway/stale_connection_test.cpp
+++ b/tests/gateway/stale_connection_test.cpp
@@ -61,6 +61,7 @@
     }
     void close_peer() { ::close(std::exchange(peer, -1)); }
 
+    static constexpr millis longest_pause = gateway::connection_reuse_settings{}.longest_pause;
     net::poller poller;
     fake_scheduler timers;
     loopback_listener server;
@@ -165,6 +166,32 @@
     BOOST_TEST(it.pool.idle_connections() == 0U);
 }
 
+// Guards against sending request after request on connections that their backend server closes
+// after one answer.
+BOOST_AUTO_TEST_CASE(connections_are_not_kept_after_stale_ones_in_a_row)
+{
+    kept_connection_fixture it;
+    it.max_connections = 0;
+    for (int n = 0; n < 2; ++n) {
+        it.start();
+        it.close_peer();
+        run_main_loop();
+        BOOST_REQUIRE((it.fault == gateway::attempt_fault::stale));
+        it.timers.run_for(millis{1});
+        it.fault.reset();
+        it.start(true);
+        it.peer = it.server.accept();
+        it.answer();
+        BOOST_TEST(it.pool.idle_connections() == (n == 0 ? 1U : 0U));
+    }
+    it.close_peer();
+    it.timers.run_for(it.longest_pause);
+    it.start();
+    it.peer = it.server.accept();
+    it.answer();
+    BOOST_TEST(it.pool.idle_connections() == 1U);
+}
+
 // Guards against opening connections while a kept one is open.
 BOOST_AUTO_TEST_CASE(open_connection_is_reused)
 {
