[gateway] Do not close a connection as idle while its next request is unread

Callers saw: a request on a kept connection was answered with a reset after a pause of the host, and a request that crossed the closing of idle connections in a drain was dropped though it had arrived. Change: both leave a connection open if bytes or the caller's close wait to be read. A reused connection to a backend server counts as stale only if it ends within 100 ms of the request; later ends are those of a server that fails while it works, as before. Result: connection_with_an_unread_request_is_not_closed_as_idle fails before (1 of 2 requests handled, connection closed) and passes now, as does reused_connection_that_ends_late_is_silent.

--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -289,7 +289,8 @@
     /// Fault of the request in flight if its connection has ended.
     [[nodiscard]] gateway::attempt_fault fault_on_end() const
     {
-        const bool stale = reused_ && !received_bytes_ && stream_->ended_by_peer();
+        const bool soon = pool_.now_() - begun_at_ <= pool_.settings_.stale_window;
+        const bool stale = reused_ && soon && !received_bytes_ && stream_->ended_by_peer();
         if (!sent_any()) {
             return stale ? gateway::attempt_fault::stale_unsent : gateway::attempt_fault::not_sent;
         }
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -28,6 +28,9 @@
     double idle_timeout_fraction = 0.6;
     gateway::connection_share_settings share;
     gateway::connection_reuse_settings reuse;
+    /// A reused connection that ends later than this after its request was sent has not been closed
+    /// for being idle.
+    millis stale_window{100};
     /// Interim responses (1xx) before the final one. A backend server that sends more is taken for
     /// one that never ends its answer.
     std::size_t max_interim_responses = 32;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -93,6 +93,10 @@
         respond(gateway::gateway_response(status_request_timeout), {});
         return;
     }
+    if (!stream_->is_quiet()) {
+        arm_timer(); // a request has arrived and is about to be read
+        return;
+    }
     close();
     server_.remove(this);
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -36,8 +36,11 @@
     {
         return busy_ || lingering_ || stream_->unsent() > 0;
     }
-    /// Whether no request has begun and no answer is pending.
-    [[nodiscard]] bool idle() const noexcept { return !answer_pending() && !parser_.begun(); }
+    /// Whether no request has begun or arrived and no answer is pending.
+    [[nodiscard]] bool idle() const
+    {
+        return !answer_pending() && !parser_.begun() && stream_->is_quiet();
+    }
 
     void respond(http1::response_head head, std::string body) override;
     void begin(http1::response_head head) override;
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -317,6 +317,38 @@
     ::close(caller);
 }
 
+// Guards against closing a connection as idle whose next request has arrived and is still unread,
+// as after a pause of the process.
+BOOST_AUTO_TEST_CASE(connection_with_an_unread_request_is_not_closed_as_idle)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    std::vector<std::shared_ptr<gateway::caller_port>> answers;
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&answers](const incoming_request& request) {
+                                     answers.push_back(request.answer);
+                                     return nullptr;
+                                 }});
+    const int caller = send_request(address, "/first");
+    run_main_loop();
+    BOOST_REQUIRE(answers.size() == 1U);
+    answers.back()->respond(http1::response_head{.status = 200}, "ok");
+    run_main_loop();
+    constexpr std::string_view next = "GET /next HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE(::send(caller, next.data(), next.size(), MSG_NOSIGNAL) > 0);
+    timers.run_for(gateway::caller_limits{}.idle_timeout + millis{1});
+    server->close_idle();
+    run_main_loop();
+    BOOST_TEST(answers.size() == 2U);
+    BOOST_TEST(server->connections() == 1U);
+    answers.clear();
+    ::close(caller);
+}
+
 /// A server whose requests are answered by the test, and one caller that ends its input.
 class half_closed_caller {
 public:
--- a/tests/gateway/stale_connection_test.cpp
+++ b/tests/gateway/stale_connection_test.cpp
@@ -108,6 +108,20 @@
     BOOST_TEST((*it.fault == gateway::attempt_fault::stale));
 }
 
+// Guards against excusing a backend server that crashes while it works on a request.
+BOOST_AUTO_TEST_CASE(reused_connection_that_ends_late_is_silent)
+{
+    kept_connection_fixture it;
+    it.start();
+    it.read_request();
+    it.timers.run_for(backend_pool_settings{}.stale_window + millis{1});
+    it.close_peer();
+    run_main_loop();
+    BOOST_REQUIRE(it.fault.has_value());
+    BOOST_TEST((*it.fault == gateway::attempt_fault::silent));
+    BOOST_TEST(it.pool.stale_connections() == 0U);
+}
+
 // Guards against excusing a backend server that closes a new connection without an answer.
 BOOST_AUTO_TEST_CASE(new_connection_closed_without_an_answer_is_silent)
 {
