[gateway] Answer requests that were read together when the host drains

Callers saw: of three requests sent in one write, with SIGTERM during the first, only the first was answered; the connection was closed although the host had read the others (trial with real processes: 200, nothing, nothing; none of the others had run). Cause: a draining host closes after each answer, without looking at what it has already read. Change: while a host drains, or after the end of the caller's input, a connection stays open as long as a whole request waits in its buffer; the last answer says Connection: close. Result: requests_sent_together_before_a_drain_are_all_answered fails before (1 request handled instead of 2) and passes now.

--- a/modules/http1/include/hickorypost/http1/parser.h
+++ b/modules/http1/include/hickorypost/http1/parser.h
@@ -36,6 +36,8 @@
     [[nodiscard]] parse_fault fault() const noexcept;
     [[nodiscard]] request_head& head() noexcept;
     [[nodiscard]] std::string& body() noexcept;
+    /// Whether all bytes of the request after the current one have been pushed.
+    [[nodiscard]] bool has_whole_request_waiting() const;
     /// Bytes that have been pushed and not been parsed yet.
     [[nodiscard]] std::size_t buffered() const noexcept { return buffer_.size(); }
 
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -313,6 +313,16 @@
     return state_->done();
 }
 
+bool request_parser::has_whole_request_waiting() const
+{
+    if (!state_->done() || buffer_.empty()) {
+        return false;
+    }
+    state next{limits_, false};
+    next.read(buffer_);
+    return next.done();
+}
+
 parse_fault request_parser::fault() const noexcept
 {
     return state_->fault();
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -185,8 +185,8 @@
 
 bool caller_connection::stays_open() const
 {
-    const bool is_last = input_ended_ && parser_.buffered() == 0;
-    return keep_alive_ && !server_.draining_ && !is_last;
+    const bool takes_more = !server_.draining_ && !input_ended_;
+    return keep_alive_ && (takes_more || parser_.has_whole_request_waiting());
 }
 
 void caller_connection::respond(http1::response_head head, std::string body)
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -349,10 +349,10 @@
     ::close(caller);
 }
 
-/// A server whose requests are answered by the test, and one caller that ends its input.
-class half_closed_caller {
+/// A server whose requests are answered by the test, and one caller.
+class single_caller {
 public:
-    explicit half_closed_caller(std::string_view requests)
+    explicit single_caller(std::string_view requests)
         : server_{caller_server::open(poller_, timers_, [this] { return timers_.now; }, address_,
                                       {.limits = [] { return gateway::caller_limits{}; },
                                        .handle =
@@ -364,19 +364,27 @@
         fd_ = send_bytes(address_, requests);
         run_main_loop();
     }
-    ~half_closed_caller()
+    ~single_caller()
     {
         answers.clear();
         close();
     }
-    half_closed_caller(const half_closed_caller&) = delete;
-    half_closed_caller& operator=(const half_closed_caller&) = delete;
+    single_caller(const single_caller&) = delete;
+    single_caller& operator=(const single_caller&) = delete;
 
     void end_input() const
     {
         ::shutdown(fd_, SHUT_WR);
         run_main_loop();
     }
+    void begin_drain() { server_->begin_drain(); }
+    /// Returns what has arrived.
+    [[nodiscard]] std::string receive() const
+    {
+        std::array<char, 4096> buf{};
+        const ssize_t n = ::recv(fd_, buf.data(), buf.size(), MSG_DONTWAIT);
+        return {buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0))};
+    }
     void close()
     {
         if (fd_ >= 0) {
@@ -431,7 +439,7 @@
 {
     for (const std::string_view request :
          {whole_get, std::string_view{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"}}) {
-        half_closed_caller it{request};
+        single_caller it{request};
         it.end_input();
         BOOST_REQUIRE(it.answers.size() == 1U);
         BOOST_TEST(!it.answers.back()->is_closed());
@@ -447,7 +455,7 @@
 // Guards against the same for a caller whose answer has begun.
 BOOST_AUTO_TEST_CASE(caller_that_ends_its_input_during_a_streamed_answer_gets_the_rest)
 {
-    half_closed_caller it{whole_get};
+    single_caller it{whole_get};
     it.answers.back()->begin(http1::response_head{.status = 200});
     it.answers.back()->piece("first");
     run_main_loop();
@@ -465,7 +473,7 @@
 BOOST_AUTO_TEST_CASE(large_answer_is_complete_after_the_end_of_the_callers_input)
 {
     constexpr std::size_t size = std::size_t{16} << 20U; // fills the socket buffers
-    half_closed_caller it{whole_get};
+    single_caller it{whole_get};
     it.respond(std::string(size, 'x'));
     it.end_input();
     BOOST_TEST(it.read_to_end());
@@ -476,7 +484,7 @@
 // Guards against answering only the first of several requests that precede the end of the input.
 BOOST_AUTO_TEST_CASE(requests_sent_together_before_the_end_of_the_input_are_all_answered)
 {
-    half_closed_caller it{std::string{whole_get} + std::string{whole_get} + "GET / HT"};
+    single_caller it{std::string{whole_get} + std::string{whole_get} + "GET / HT"};
     it.end_input();
     it.respond("first");
     BOOST_REQUIRE(it.answers.size() == 2U);
@@ -487,10 +495,24 @@
     BOOST_TEST(it.connections() == 0U);
 }
 
+// Guards against dropping requests that were read together when their host drains.
+BOOST_AUTO_TEST_CASE(requests_sent_together_before_a_drain_are_all_answered)
+{
+    single_caller it{std::string{whole_get} + std::string{whole_get} + "GET / HT"};
+    it.begin_drain();
+    it.respond("first");
+    BOOST_REQUIRE(it.answers.size() == 2U);
+    BOOST_TEST(it.receive().find("Connection: close") == std::string::npos);
+    it.respond("second");
+    const std::string second = it.receive();
+    BOOST_TEST(second.find("Connection: close") != std::string::npos);
+    BOOST_TEST(second.ends_with("second"));
+}
+
 // Guards against an interim response to a caller whose protocol version has none.
 BOOST_AUTO_TEST_CASE(half_closed_caller_of_http_1_0_gets_no_interim_response)
 {
-    half_closed_caller it{"GET / HTTP/1.0\r\n\r\n"};
+    single_caller it{"GET / HTTP/1.0\r\n\r\n"};
     it.end_input();
     it.respond("whole");
     BOOST_TEST(it.read_to_end());
@@ -501,11 +523,11 @@
 // Guards against work for a caller that has closed its connection.
 BOOST_AUTO_TEST_CASE(request_of_a_caller_that_closed_its_connection_is_given_up)
 {
-    half_closed_caller waiting{whole_get};
+    single_caller waiting{whole_get};
     waiting.close();
     BOOST_TEST(waiting.answers.back()->is_closed());
     BOOST_TEST(waiting.connections() == 0U);
-    half_closed_caller streaming{whole_get};
+    single_caller streaming{whole_get};
     streaming.answers.back()->begin(http1::response_head{.status = 200});
     streaming.close();
     streaming.answers.back()->piece("first");
@@ -517,7 +539,7 @@
 // Guards against a connection that stays open because its request never becomes complete.
 BOOST_AUTO_TEST_CASE(connection_that_ends_inside_a_request_is_closed)
 {
-    half_closed_caller it{"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"};
+    single_caller it{"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"};
     it.end_input();
     BOOST_TEST(it.read_to_end());
     BOOST_TEST(it.received.empty());
