[gateway] Take a caller that ends its input inside an answer for gone

Cause: inside a streamed answer no bytes can be sent that would tell a caller that reads on from one that has closed; kept both. A reset that comes with the end of the input in one event ends the stream (new test in tcp_stream_suite). A malformed request behind another one is answered 400 instead of being left waiting. An engine's answer with a length is complete if its body has that length, whatever its type.

--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -306,6 +306,10 @@
     if (readable_ && (reading_ || peer_closed_)) {
         read_all();
     }
+    // A reset behind the end of the input came with this event, and there may be no other.
+    if (!*gone && fd_ >= 0 && input_ended_ && broken) {
+        end(stream_end::failed);
+    }
 }
 
 void tcp_stream::read_all()
--- a/modules/net/tests/tcp_stream_test.cpp
+++ b/modules/net/tests/tcp_stream_test.cpp
@@ -132,6 +132,24 @@
     BOOST_TEST((it.end == net::stream_end::finished));
 }
 
+// Guards against a stream that stays open for output although the same event told of a reset.
+BOOST_AUTO_TEST_CASE(reset_behind_the_end_of_the_input_ends_an_open_stream)
+{
+    net::poller poller;
+    stream_to_socket it{poller};
+    net::tcp_stream::hooks hooks;
+    hooks.input_ended = [] { return true; };
+    hooks.ended = [&it](net::stream_end how) { it.end = how; };
+    it.stream->set_hooks(std::move(hooks));
+    ::shutdown(it.peer, SHUT_WR);
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(it.peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    it.close_peer();
+    run_main_loop();
+    BOOST_REQUIRE(it.end.has_value());
+    BOOST_TEST((*it.end == net::stream_end::failed));
+}
+
 // Guards against a peer that sends without end and keeps all other connections waiting.
 BOOST_AUTO_TEST_CASE(peer_that_sends_without_end_is_read_in_turns)
 {
--- a/src/engine_call.cpp
+++ b/src/engine_call.cpp
@@ -254,8 +254,8 @@
                std::string_view{length} == "0";
     }
     const bool encoded = soup_message_headers_get_one(headers, "Content-Encoding") != nullptr;
-    if (!encoded && length != nullptr && length != std::to_string(body.size())) {
-        return false;
+    if (!encoded && length != nullptr) {
+        return length == std::to_string(body.size());
     }
     const bool is_json = g_ascii_strncasecmp(state.result.content_type.c_str(), json_type.data(),
                                              json_type.size()) == 0;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -274,7 +274,7 @@
     stream_->set_reading(true);
     parser_.set_limits(to_parse_limits(server_.options_.limits()));
     parser_.next();
-    if (parser_.begun()) {
+    if (parser_.begun() || parser_.fault() != http1::parse_fault::none) {
         advance();
     } else {
         arm_timer();
@@ -365,7 +365,10 @@
 
 bool caller_connection::on_input_ended()
 {
-    if (lingering_ || !answer_pending()) {
+    const bool relaying = answer_begun_ && !answer_complete_ && !closing_when_sent_;
+    // Nothing but the next bytes of the answer, which may be long in coming, could tell a caller in
+    // the middle of an answer from one that has left. Callers leave streams that stall.
+    if (lingering_ || !answer_pending() || (busy_ && relaying)) {
         return false;
     }
     input_ended_ = true;
