--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -124,6 +124,20 @@
     }
 }
 
+bool child::catches(int number) const
+{
+    constexpr std::string_view name = "SigCgt:";
+    constexpr int hex = 16;
+    std::ifstream in{"/proc/" + std::to_string(pid_) + "/status"};
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(name)) {
+            const auto mask = std::stoull(line.substr(name.size()), nullptr, hex);
+            return (mask >> static_cast<unsigned>(number - 1) & 1U) != 0;
+        }
+    }
+    return false;
+}
+
 std::size_t child::open_descriptors() const
 {
     const std::filesystem::path folder = "/proc/" + std::to_string(pid_) + "/fd";
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -33,6 +33,8 @@
     std::optional<int> wait(std::chrono::milliseconds limit);
     void kill();
     [[nodiscard]] pid_t pid() const noexcept { return pid_; }
+    /// Whether the process has installed a handler for the signal.
+    [[nodiscard]] bool catches(int number) const;
     /// Number of file descriptors that the process has open.
     [[nodiscard]] std::size_t open_descriptors() const;
 
