--- a/modules/net/tests/tcp_stream_test.cpp
+++ b/modules/net/tests/tcp_stream_test.cpp
@@ -132,7 +132,7 @@
     BOOST_TEST((it.end == net::stream_end::finished));
 }
 
-// Guards against a stream that stays open for output although the same event told of a reset.
+// Guards against a stream that stays open for output although the same event reported a reset.
 BOOST_AUTO_TEST_CASE(reset_behind_the_end_of_the_input_ends_an_open_stream)
 {
     net::poller poller;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -623,7 +623,7 @@
     if (callers_server_->has_listened()) {
         min_drain_time_ = min_drain_time;
     } else {
-        callers_server_->stop_accepting(); // nobody has been told to send requests here
+        callers_server_->stop_accepting(); // it has never been ready
     }
     control_->hand_over();
     drain_timer_ =
--- a/tests/cli/operator_client_test.cpp
+++ b/tests/cli/operator_client_test.cpp
@@ -27,7 +27,7 @@
 
 BOOST_AUTO_TEST_SUITE(operator_client_suite)
 
-// Guards against an operator who is told of success by an answer that was cut short.
+// Guards against an operator who sees success because of a reply that was cut short.
 BOOST_AUTO_TEST_CASE(reply_cut_at_any_byte_has_no_status)
 {
     const std::string head =
--- a/tests/gateway/listen_retry_test.cpp
+++ b/tests/gateway/listen_retry_test.cpp
@@ -68,7 +68,7 @@
     BOOST_TEST(it.failures.size() == 1U);
 }
 
-// Guards against a host that takes an address after it has been told to end.
+// Guards against a host that takes an address after SIGTERM.
 BOOST_AUTO_TEST_CASE(server_that_was_stopped_no_longer_waits_for_its_address)
 {
     waiting_server it;
