[process] Log signals that the parent process had blocked

A process that inherits a blocked SIGTERM can not be drained, and nothing in its log says so: it looks like one that hangs. No change of behaviour.

--- a/src/run_role.cpp
+++ b/src/run_role.cpp
@@ -121,6 +121,9 @@
         signals_.on_terminate = [this] { shut_down(); };
         signals_.on_interrupt = [this] { interrupt(); };
         signals_.on_hangup = [this] { reload(); };
+        if (const auto& names = signals_.inherited_blocks(); !names.empty()) {
+            env_.log->warn("signals blocked by the parent process: {}", names);
+        }
         start_roles();
         if (code_ == exit_code::done) {
             g_main_loop_run(loop_);
--- a/src/signal_watch.cpp
+++ b/src/signal_watch.cpp
@@ -4,12 +4,35 @@
 
 #include <csignal>
 #include <glib-unix.h>
+#include <utility>
 
 namespace hickorypost {
 
+namespace {
+
+constexpr std::array handled_signals{std::pair{SIGTERM, "SIGTERM"}, std::pair{SIGINT, "SIGINT"},
+                                     std::pair{SIGHUP, "SIGHUP"}};
+
+std::string name_blocked_signals()
+{
+    sigset_t blocked{};
+    ::pthread_sigmask(SIG_BLOCK, nullptr, &blocked);
+    std::string out;
+    for (const auto& [number, name] : handled_signals) {
+        if (sigismember(&blocked, number) == 1) {
+            out.append(out.empty() ? "" : ", ").append(name);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
 signal_watch::signal_watch()
     : sources_{g_unix_signal_add(SIGTERM, terminate, this),
-               g_unix_signal_add(SIGINT, interrupt, this), g_unix_signal_add(SIGHUP, hang_up, this)}
+               g_unix_signal_add(SIGINT, interrupt, this),
+               g_unix_signal_add(SIGHUP, hang_up, this)},
+      inherited_blocks_{name_blocked_signals()}
 {
 }
 
--- a/src/signal_watch.h
+++ b/src/signal_watch.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <functional>
 #include <glib.h>
+#include <string>
 
 namespace hickorypost {
 
@@ -20,6 +21,9 @@
     /// Runs the main loop for this time. Returns false at once if the process is to end.
     bool wait_for(millis time);
 
+    /// Names of the handled signals that the parent process had blocked; empty if none.
+    [[nodiscard]] const std::string& inherited_blocks() const noexcept { return inherited_blocks_; }
+
     /// Hooks of the signals; those that arrive while a hook is unset are only recorded.
     std::function<void()> on_terminate;
     std::function<void()> on_interrupt;
@@ -32,6 +36,7 @@
     void end(const std::function<void()>& hook);
 
     std::array<guint, 3> sources_;
+    std::string inherited_blocks_;
     bool ends_ = false; ///< a signal that ends the process has arrived
 };
 
