[process] Unblock the signals that end or reload a process

Callers lost all requests in flight on a host whose supervisor starts its processes with SIGTERM blocked: the mask is inherited, the handlers never run, and the host is killed at the end of the grace time. signal_watch unblocks the signals that it handles, after their handlers are installed, so that one that is pending already is handled as well.

--- a/src/signal_watch.cpp
+++ b/src/signal_watch.cpp
@@ -13,13 +13,19 @@
 constexpr std::array handled_signals{std::pair{SIGTERM, "SIGTERM"}, std::pair{SIGINT, "SIGINT"},
                                      std::pair{SIGHUP, "SIGHUP"}};
 
-std::string name_blocked_signals()
+/// Unblocks the handled signals. Returns the names of those that were blocked.
+std::string unblock_signals()
 {
-    sigset_t blocked{};
-    ::pthread_sigmask(SIG_BLOCK, nullptr, &blocked);
+    sigset_t handled{};
+    sigset_t before{};
+    sigemptyset(&handled);
+    for (const auto& [number, name] : handled_signals) {
+        sigaddset(&handled, number);
+    }
+    ::pthread_sigmask(SIG_UNBLOCK, &handled, &before);
     std::string out;
     for (const auto& [number, name] : handled_signals) {
-        if (sigismember(&blocked, number) == 1) {
+        if (sigismember(&before, number) == 1) {
             out.append(out.empty() ? "" : ", ").append(name);
         }
     }
@@ -32,7 +38,7 @@
     : sources_{g_unix_signal_add(SIGTERM, terminate, this),
                g_unix_signal_add(SIGINT, interrupt, this),
                g_unix_signal_add(SIGHUP, hang_up, this)},
-      inherited_blocks_{name_blocked_signals()}
+      inherited_blocks_{unblock_signals()}
 {
 }
 
