[gateway] Measure the memory that a host holds for its callers

Metrics: memory_resident_bytes, and buffered_bytes for requests, answers, requests to backend servers, and the kernel's buffers of callers' connections. They are read when metrics are fetched; the request path is unchanged.

--- /dev/null
+++ b/modules/base/include/hickorypost/base/process_memory.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace hickorypost {
+
+/// Resident memory of this process in bytes; 0 if the system does not tell it.
+std::size_t resident_memory_bytes();
+
+} // namespace hickorypost
--- a/modules/gateway/include/hickorypost/gateway/event_splitter.h
+++ b/modules/gateway/include/hickorypost/gateway/event_splitter.h
@@ -27,6 +27,7 @@
     [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
     /// Whether the last event received is incomplete.
     [[nodiscard]] bool has_partial() const noexcept { return !partial_event_.empty(); }
+    [[nodiscard]] std::size_t partial_bytes() const noexcept { return partial_event_.size(); }
     /// Number of forwarded events with an id.
     [[nodiscard]] std::uint64_t events() const noexcept { return events_; }
     /// Whether an id was received that left a gap after `last_id()`.
--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -183,6 +183,12 @@
     void caller_drained();
     [[nodiscard]] bool over() const noexcept { return finished_; }
     [[nodiscard]] const std::string& id() const noexcept { return request_.id; }
+    [[nodiscard]] std::size_t request_body_bytes() const noexcept { return request_.body.size(); }
+    /// Bytes of answers that are kept before they are passed to the caller, or dropped.
+    [[nodiscard]] std::size_t answer_bytes() const noexcept
+    {
+        return buffered_body_.size() + failure_body_.size() + events_.partial_bytes();
+    }
 
 private:
     bool may_send() override;
--- a/modules/http1/include/hickorypost/http1/parser.h
+++ b/modules/http1/include/hickorypost/http1/parser.h
@@ -40,6 +40,8 @@
     [[nodiscard]] bool has_whole_request_waiting() const;
     /// Bytes that have been pushed and not been parsed yet.
     [[nodiscard]] std::size_t buffered() const noexcept { return buffer_.size(); }
+    /// Memory that the unparsed bytes and the body take.
+    [[nodiscard]] std::size_t memory_bytes() const noexcept;
 
 private:
     struct state;
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -338,6 +338,11 @@
     return state_->body;
 }
 
+std::size_t request_parser::memory_bytes() const noexcept
+{
+    return buffer_.capacity() + state_->body.capacity();
+}
+
 struct response_parser::state : message_reader<false> {
     using message_reader::message_reader;
 };
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -28,6 +28,12 @@
     refused,  ///< never connected: nobody listens there
 };
 
+/// Bytes of a connection that the kernel holds.
+struct kernel_bytes {
+    std::size_t unsent = 0; ///< written, and not acknowledged by the peer
+    std::size_t unread = 0;
+};
+
 /// A byte stream over TCP on a `poller`. Owns its socket.
 ///
 /// Bytes written in one turn of the main context are sent in one system call. Keep-alive probes and
@@ -75,6 +81,8 @@
     /// Bytes that were handed to the kernel, so that the peer may have read them.
     [[nodiscard]] std::uint64_t sent_bytes() const noexcept { return sent_bytes_; }
     [[nodiscard]] bool open() const noexcept { return fd_ >= 0; }
+    /// Zero for what the system does not tell.
+    [[nodiscard]] kernel_bytes in_kernel() const;
     /// Whether the stream is open and neither bytes nor the peer's close have arrived unread.
     [[nodiscard]] bool is_quiet() const;
     /// Whether the peer closed or reset the connection, as opposed to one that timed out.
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -5,9 +5,11 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -197,6 +199,15 @@
     }
 }
 
+kernel_bytes tcp_stream::in_kernel() const
+{
+    const auto ask = [this](unsigned long what) {
+        int n = 0;
+        return fd_ >= 0 && ::ioctl(fd_, what, &n) == 0 && n > 0 ? static_cast<std::size_t>(n) : 0;
+    };
+    return {.unsent = ask(SIOCOUTQ), .unread = ask(SIOCINQ)};
+}
+
 bool tcp_stream::is_quiet() const
 {
     char next = 0;
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -109,6 +109,7 @@
     /// Fails the request in flight.
     void abort() { fail(sent_any() ? fault_after_sending() : gateway::attempt_fault::not_sent); }
     [[nodiscard]] const std::string& backend() const noexcept { return target_.backend; }
+    [[nodiscard]] std::size_t unsent() const { return stream_ ? stream_->unsent() : 0; }
     /// Connections that the backend server accepts from all hosts together; 0: any number.
     [[nodiscard]] std::uint32_t limit() const noexcept { return target_.max_connections; }
     /// Whether the idle connection is open as far as this process can know.
@@ -556,6 +557,15 @@
     }
 }
 
+std::size_t backend_pool::unsent_bytes() const
+{
+    std::size_t out = 0;
+    for (const auto& [conn, owned] : busy_) {
+        out += conn->unsent();
+    }
+    return out;
+}
+
 std::size_t backend_pool::idle_connections() const noexcept
 {
     std::size_t out = 0;
--- a/src/gateway/backend_pool.h
+++ b/src/gateway/backend_pool.h
@@ -73,6 +73,8 @@
     void close_idle_where_scarce();
     [[nodiscard]] std::size_t idle_connections() const noexcept;
     [[nodiscard]] std::size_t busy_connections() const noexcept { return busy_.size(); }
+    /// Bytes of requests that have not been written to the sockets yet.
+    [[nodiscard]] std::size_t unsent_bytes() const;
     /// Number of connections opened since construction.
     [[nodiscard]] std::uint64_t opened_connections() const noexcept { return opened_; }
     /// Number of requests whose reused connection was closed before an answer.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -284,6 +284,15 @@
     }
 }
 
+void caller_connection::add_to(buffered_bytes& sum) const
+{
+    const auto kernel = stream_->in_kernel();
+    sum.requests += parser_.memory_bytes() + (exchange_ ? exchange_->request_body_bytes() : 0);
+    sum.answers += stream_->unsent() + (exchange_ ? exchange_->answer_bytes() : 0);
+    sum.kernel_unsent += kernel.unsent;
+    sum.kernel_unread += kernel.unread;
+}
+
 void caller_connection::finish_request()
 {
     if (held_) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -48,6 +48,8 @@
     void end() override;
     void break_off() override;
     [[nodiscard]] std::size_t unsent() const override { return stream_->unsent(); }
+    /// Adds the bytes that are held for the connection.
+    void add_to(buffered_bytes& sum) const;
     [[nodiscard]] bool is_closed() const override { return closed_; }
 
     void ready(std::uint32_t) override {}
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -244,6 +244,15 @@
     return out;
 }
 
+buffered_bytes caller_server::buffered() const
+{
+    buffered_bytes out;
+    for (const auto& [key, connection] : connections_) {
+        connection->add_to(out);
+    }
+    return out;
+}
+
 std::size_t caller_server::unsent_bytes() const
 {
     std::size_t out = 0;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -43,6 +43,14 @@
     std::size_t unsent_bytes = 0;
 };
 
+/// Bytes held for the connections of a server.
+struct buffered_bytes {
+    std::size_t requests = 0; ///< being read or in flight
+    std::size_t answers = 0;  ///< not written to the sockets yet
+    std::size_t kernel_unsent = 0;
+    std::size_t kernel_unread = 0;
+};
+
 /// HTTP/1.1 server on one address. Connections are persistent and carry one request at a time.
 class caller_server final : public net::pollable {
 public:
@@ -104,6 +112,8 @@
     [[nodiscard]] std::size_t pending_answers() const;
     /// Bytes of answers that have not been written to the sockets yet.
     [[nodiscard]] std::size_t unsent_bytes() const;
+    /// Makes system calls for each connection.
+    [[nodiscard]] buffered_bytes buffered() const;
     [[nodiscard]] std::size_t connections() const noexcept
     {
         return connections_.size() + unread_.size();
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/backend_dial.h"
 #include "hickorypost/base/packing.h"
+#include "hickorypost/base/process_memory.h"
 #include "hickorypost/platform/caller_codec.h"
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
@@ -686,6 +687,16 @@
     metrics.set("caller_inputs_ended", static_cast<double>(callers_server_->inputs_ended()));
     metrics.set("listeners_waiting", static_cast<double>(listeners_waiting()));
     metrics.set("overloaded", callers_server_->is_overloaded() ? 1 : 0);
+    metrics.set("memory_resident_bytes", static_cast<double>(resident_memory_bytes()));
+    const auto set_buffered = [&](std::string_view what, std::size_t bytes) {
+        metrics.set("buffered_bytes{of=\"" + std::string{what} + "\"}", static_cast<double>(bytes));
+    };
+    const auto buffered = callers_server_->buffered();
+    set_buffered("requests", buffered.requests);
+    set_buffered("answers", buffered.answers);
+    set_buffered("backend_requests", pool_.unsent_bytes());
+    set_buffered("kernel_unsent", buffered.kernel_unsent);
+    set_buffered("kernel_unread", buffered.kernel_unread);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
