[gateway] Abandon failure answers that are too large to keep

A 5xx answer is kept until it is complete, so that the caller can get it if no other attempt succeeds. Its size had no bound: one backend server that sends a body without end behind a 500 took 3.1 GB from a host in 6 s (three callers), which ends the process at its memory limit and loses all requests in flight. Class: input that is buffered without a bound.

Beyond max_buffered_bytes (256 KiB) the attempt is ended as failed and retried where that is allowed; otherwise the caller gets 502 at once.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -282,6 +282,10 @@
     /// Sends the request to a larger model if the answer's confidence is too low.
     bool try_escalate(const backend_answer& answer);
     void relay_events(std::string_view bytes);
+    /// Sends complete events to the caller, `count` of them with an id.
+    void forward_events(std::string_view whole, std::uint64_t count);
+    /// Keeps bytes of a failure answer. One that exceeds `max_buffered_bytes` is abandoned.
+    void buffer_failure(std::string_view bytes);
     /// Pauses reading while the caller has not read `max_unsent_bytes`.
     void pause_if_unread();
     /// Resumes the stream if the caller has got a part of it, else retries.
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -2,6 +2,8 @@
 
 #include "hickorypost/gateway/exchange.h"
 
+#include "hickorypost/base/buffer.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -169,7 +171,7 @@
         return;
     }
     if (failure_head_) {
-        buffered_body_.append(bytes);
+        buffer_failure(bytes);
         return;
     }
     if (stage_ == stage::relaying) {
@@ -188,6 +190,18 @@
     pause_if_unread();
 }
 
+void exchange::buffer_failure(std::string_view bytes)
+{
+    if (buffered_body_.size() + bytes.size() <= services_.settings.max_buffered_bytes) {
+        buffered_body_.append(bytes);
+        return;
+    }
+    end_attempt(attempt_result::failed);
+    failure_head_.reset();
+    clear_buffer(buffered_body_);
+    retry("failure answer of the backend server too large");
+}
+
 void exchange::pause_if_unread()
 {
     if (current_attempt_ && caller_.unsent() > services_.settings.max_unsent_bytes) {
