[gateway] Bound events of streams and forward what precedes a bad one

An event was kept until its end without a bound, and searched again from its start for each piece: one backend server that sends an event without end took 96 MB and 5 of 6 s of processor time (three callers). An event of more than 256 KiB now fails the attempt, which is resumed or ended as for any broken stream, and the search continues where it ended.

Found on the way: complete events that arrived together with one that is out of order were counted as delivered and dropped, so that a resumed stream lacked them. They are forwarded first.

--- a/modules/gateway/src/event_splitter.cpp
+++ b/modules/gateway/src/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "hickorypost/gateway/event_splitter.h"
 
+#include "hickorypost/base/buffer.h"
+
 #include <charconv>
 
 namespace hickorypost::gateway {
@@ -25,11 +27,14 @@
     return std::nullopt;
 }
 
-/// Offset of the end of the first complete event, or npos.
-std::size_t end_of_event(std::string_view text)
+/// Offset of the end of the first complete event, or npos. None ends within the first `searched`
+/// bytes.
+std::size_t end_of_event(std::string_view text, std::size_t searched)
 {
-    const auto lf_end = text.find("\n\n");
-    const auto crlf_end = text.find("\r\n\r\n");
+    constexpr std::size_t longest_end = 4;
+    const std::size_t from = searched < longest_end ? 0 : searched - longest_end + 1;
+    const auto lf_end = text.find("\n\n", from);
+    const auto crlf_end = text.find("\r\n\r\n", from);
     if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
         return std::string_view::npos;
     }
@@ -40,10 +45,14 @@
 
 std::string event_splitter::push(std::string_view bytes)
 {
+    if (too_large_) {
+        return {};
+    }
     partial_event_.append(bytes);
     std::string out;
     std::string_view rest = partial_event_;
-    for (auto end = end_of_event(rest); end != std::string_view::npos; end = end_of_event(rest)) {
+    for (auto end = end_of_event(rest, searched_); end != std::string_view::npos;
+         end = end_of_event(rest, 0)) {
         const auto event = rest.substr(0, end);
         if (accept(event)) {
             out.append(event);
@@ -51,9 +60,21 @@
         rest.remove_prefix(end);
     }
     partial_event_.erase(0, partial_event_.size() - rest.size());
+    searched_ = partial_event_.size();
+    if (partial_event_.size() > max_event_bytes) {
+        restart();
+        too_large_ = true;
+    }
     return out;
 }
 
+void event_splitter::restart()
+{
+    clear_buffer(partial_event_);
+    searched_ = 0;
+    too_large_ = false;
+}
+
 bool event_splitter::accept(std::string_view event)
 {
     const auto id = parse_event_id(event);
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -215,15 +215,17 @@
 void exchange::relay_events(std::string_view bytes)
 {
     const std::uint64_t before = events_.events();
-    const std::string whole = events_.push(bytes);
-    if (events_.out_of_order()) {
-        end_attempt(attempt_result::failed);
-        resume_or_retry("events out of order");
-        return;
+    if (const std::string whole = events_.push(bytes); !whole.empty()) {
+        forward_events(whole, events_.events() - before);
     }
-    if (whole.empty()) {
-        return;
+    if (events_.too_large() || events_.out_of_order()) {
+        end_attempt(attempt_result::failed);
+        resume_or_retry(events_.too_large() ? "event too large" : "events out of order");
     }
+}
+
+void exchange::forward_events(std::string_view whole, std::uint64_t count)
+{
     if (stage_ != stage::relaying) {
         stage_ = stage::relaying;
         record_.to_first = services_.now() - started_at_;
@@ -242,11 +244,10 @@
         record_.longest_gap = std::max(record_.longest_gap, now - last_event_at_);
     }
     if (!first_of_attempt) {
-        services_.balancer.on_stream_events(*ticket_, events_.events() - before,
-                                            now - last_event_at_, now);
+        services_.balancer.on_stream_events(*ticket_, count, now - last_event_at_, now);
     }
     last_event_at_ = now;
-    record_event_interval(events_.events() - before);
+    record_event_interval(count);
     services_.balancer.on_first_event(*ticket_, now);
     caller_.piece(whole);
     restart_silence_timer();
