[settings] Tell a host its memory limit

The platform states the limit of a process (Limits.MemoryMb); the template did not pass it on, so that a host could not compare its memory with it. memory_mb holds it, and the metric memory_limit_bytes shows it beside memory_resident_bytes. Nothing decides by it yet.

--- a/modules/base/src/process_memory.cpp
+++ b/modules/base/src/process_memory.cpp
@@ -5,6 +5,16 @@
 
 namespace hickorypost {
 
+namespace {
+
+std::size_t page_bytes()
+{
+    const long out = ::sysconf(_SC_PAGESIZE);
+    return out > 0 ? static_cast<std::size_t>(out) : 0;
+}
+
+} // namespace
+
 std::size_t resident_memory_bytes()
 {
     std::ifstream in{"/proc/self/statm"};
@@ -13,8 +23,13 @@
     if (!(in >> virtual_pages >> resident_pages)) {
         return 0;
     }
-    const long page = ::sysconf(_SC_PAGESIZE);
-    return page > 0 ? resident_pages * static_cast<std::size_t>(page) : 0;
+    return resident_pages * page_bytes();
+}
+
+std::size_t machine_memory_bytes()
+{
+    const long pages = ::sysconf(_SC_PHYS_PAGES);
+    return pages > 0 ? static_cast<std::size_t>(pages) * page_bytes() : 0;
 }
 
 } // namespace hickorypost
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -687,6 +687,7 @@
     metrics.set("caller_inputs_ended", static_cast<double>(callers_server_->inputs_ended()));
     metrics.set("listeners_waiting", static_cast<double>(listeners_waiting()));
     metrics.set("overloaded", callers_server_->is_overloaded() ? 1 : 0);
+    metrics.set("memory_limit_bytes", static_cast<double>(config_.memory_bytes));
     metrics.set("memory_resident_bytes", static_cast<double>(resident_memory_bytes()));
     const auto set_buffered = [&](std::string_view what, std::size_t bytes) {
         metrics.set("buffered_bytes{of=\"" + std::string{what} + "\"}", static_cast<double>(bytes));
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -360,6 +360,8 @@
     out.retry_window = seconds("retry_window_s");
     out.retry_slack = in.number("gateway", "retry_slack");
     out.session = seconds("session_s");
+    constexpr std::size_t megabyte = 1'000'000;
+    out.memory_bytes = in.integer<std::size_t>("gateway", "memory_mb") * megabyte;
     out.log_requests_per_second = in.number("gateway", "log_requests_per_second");
     out.account_weights = in.weights("gateway", "account_weights");
     out.decisions.exchange.admission = in.text("gateway", "admission") == "on";
--- a/src/settings.h
+++ b/src/settings.h
@@ -130,6 +130,8 @@
     millis retry_window{10'000};
     double retry_slack = 0;
     millis session{10'000};
+    /// Memory that the process may use, in bytes; 0: unknown.
+    std::size_t memory_bytes = 0;
     double log_requests_per_second = 20;
     /// Shares of accounts while capacity is short; 1 for accounts that are not named.
     std::map<std::string, double> account_weights;
