[gateway] Bound the memory of requests and unread answers

Callers of a host lost all their requests when the host exceeded its memory limit: nothing bounded the sum of bodies that are read, of answers that callers do not read, and of the kernel's buffers for them, which the limit of a process may include. 60 uploads of 4 MiB took it 242 MB over a limit of 110 MB, 40 unread answers of 4 MiB 67 MB. Class: as for endless answers, input that is buffered without a bound; here each part was bounded and the sum was not.

buffer_budget holds the sum for one purpose, with a share for each holder: - requests: a quarter of memory_mb. A body that no longer fits is rejected with 503 before it is read, requests up to 16 KiB are always taken. - answers: a sixth. What each answer may keep or have unsent falls from 256 KiB to 16 KiB with the bytes that are free, so that callers that do not read leave room for others. - control port: an eighth, one whole configuration at least. The kernel's buffers of a connection are limited to 64 KiB each way (it doubles them); they grew to 4 MB.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hickorypost/gateway/backend_directory.h"
+#include "hickorypost/gateway/buffer_budget.h"
 #include "hickorypost/gateway/crash_ledger.h"
 #include "hickorypost/gateway/crash_watch.h"
 #include "hickorypost/gateway/event_splitter.h"
@@ -13,6 +14,7 @@
 #include "hickorypost/scheduling/admission_coordinator.h"
 
 #include <map>
+#include <memory>
 
 namespace hickorypost::gateway {
 
@@ -30,6 +32,8 @@
     std::size_t max_buffered_bytes = std::size_t{256} << 10U;
     /// Bytes queued for the caller above which reading from the backend server pauses.
     std::size_t max_unsent_bytes = std::size_t{256} << 10U;
+    /// Lower bound of `max_buffered_bytes` and `max_unsent_bytes` while memory is short.
+    std::size_t min_answer_bytes = std::size_t{16} << 10U;
     /// A process that has just started knows no backend server until the first heartbeats arrive.
     /// A request waits this long for the first backend server, but at most half of the time until
     /// its deadline.
@@ -154,6 +158,8 @@
     /// engine, as work of the account.
     std::function<void(const std::string& account, double work_ms)> work_admitted =
         [](const std::string&, double) {};
+    /// Memory for answers that are kept or that callers have not read.
+    std::shared_ptr<buffer_budget> answer_buffers = std::make_shared<buffer_budget>(0);
 };
 
 /// Handles one request until its answer is complete: chooses backend servers, sends attempts,
@@ -284,9 +290,13 @@
     void relay_events(std::string_view bytes);
     /// Sends complete events to the caller, `count` of them with an id.
     void forward_events(std::string_view whole, std::uint64_t count);
+    /// Keeps bytes of a plain answer, or relays them once it is too large to keep.
+    void relay_plain(std::string_view bytes);
     /// Keeps bytes of a failure answer. One that exceeds `max_buffered_bytes` is abandoned.
     void buffer_failure(std::string_view bytes);
-    /// Pauses reading while the caller has not read `max_unsent_bytes`.
+    /// Bytes of the answer that may be kept or unsent, `most` unless memory is short.
+    [[nodiscard]] std::size_t answer_allowance(std::size_t most) const;
+    /// Pauses reading while the caller has not read what it may have unread.
     void pause_if_unread();
     /// Resumes the stream if the caller has got a part of it, else retries.
     void resume_or_retry(std::string_view why);
@@ -373,6 +383,7 @@
     /// gateway's own error, as it says more.
     std::optional<http1::response_head> failure_head_;
     std::string failure_body_;
+    buffer_share answer_share_{services_.answer_buffers};
     event_splitter events_;
     instant last_event_at_;
     bool finished_ = false;
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -168,17 +168,21 @@
     const bool events = route_.kind == request_kind::streaming && stage_ != stage::buffering;
     if (events) {
         relay_events(bytes);
-        return;
-    }
-    if (failure_head_) {
+    } else if (failure_head_) {
         buffer_failure(bytes);
-        return;
+    } else {
+        relay_plain(bytes);
     }
+    answer_share_.set(answer_bytes());
+}
+
+void exchange::relay_plain(std::string_view bytes)
+{
     if (stage_ == stage::relaying) {
         caller_.piece(bytes);
     } else {
         buffered_body_.append(bytes);
-        if (buffered_body_.size() > services_.settings.max_buffered_bytes) {
+        if (buffered_body_.size() > answer_allowance(services_.settings.max_buffered_bytes)) {
             stage_ = stage::relaying;
             cancel_silence_timers(); // a part of a plain answer can't be continued by another one
             head_.fields.remove_hop_by_hop();
@@ -202,9 +206,15 @@
     retry("failure answer of the backend server too large");
 }
 
+std::size_t exchange::answer_allowance(std::size_t most) const
+{
+    return services_.answer_buffers->allowance(services_.settings.min_answer_bytes, most);
+}
+
 void exchange::pause_if_unread()
 {
-    if (current_attempt_ && caller_.unsent() > services_.settings.max_unsent_bytes) {
+    if (current_attempt_ &&
+        caller_.unsent() > answer_allowance(services_.settings.max_unsent_bytes)) {
         current_attempt_->set_reading(false);
         reading_paused_ = true;
         // Until reading continues, the silence is not the backend server's.
@@ -319,6 +329,7 @@
     head_.fields.remove("Content-Length");
     const unsigned status = head_.status;
     caller_.respond(std::move(head_), std::exchange(buffered_body_, {}));
+    answer_share_.set(answer_bytes());
     finish(exchange_outcome::answered, status, {});
 }
 
--- a/modules/http1/include/hickorypost/http1/parser.h
+++ b/modules/http1/include/hickorypost/http1/parser.h
@@ -29,6 +29,9 @@
     void next();
     void set_limits(parse_limits limits) { limits_ = limits; }
 
+    /// Gives the current request up: frees its bytes and ignores those that follow.
+    void abandon();
+
     /// Bytes of a request have come that is not over yet.
     [[nodiscard]] bool begun() const noexcept;
     [[nodiscard]] bool head_done() const noexcept;
@@ -40,6 +43,8 @@
     [[nodiscard]] bool has_whole_request_waiting() const;
     /// Bytes that have been pushed and not been parsed yet.
     [[nodiscard]] std::size_t buffered() const noexcept { return buffer_.size(); }
+    /// Bytes of the current body that are known to follow; 0 for a body in chunks.
+    [[nodiscard]] std::uint64_t missing_bytes() const noexcept;
     /// Memory that the unparsed bytes and the body take.
     [[nodiscard]] std::size_t memory_bytes() const noexcept;
 
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -151,11 +151,19 @@
         }
     }
 
+    void abandon()
+    {
+        fault_ = parse_fault::cut_short;
+        body = {};
+    }
+
     /// Whether bytes of a request line have arrived.
     [[nodiscard]] bool head_begun() const noexcept { return head_begun_; }
     [[nodiscard]] bool head_done() const noexcept { return head_done_; }
     [[nodiscard]] bool done() const noexcept { return done_; }
     [[nodiscard]] parse_fault fault() const noexcept { return fault_; }
+    /// Bytes of a sized body that have not been read yet.
+    [[nodiscard]] std::uint64_t missing() const noexcept { return missing_; }
 
     collector<is_request> head;
     std::string body;
@@ -298,6 +306,12 @@
     feed(*state_, buffer_, bytes);
 }
 
+void request_parser::abandon()
+{
+    buffer_ = {};
+    state_->abandon();
+}
+
 bool request_parser::begun() const noexcept
 {
     return state_->head_done() || (state_->head_begun() && !buffer_.empty());
@@ -338,6 +352,11 @@
     return state_->body;
 }
 
+std::uint64_t request_parser::missing_bytes() const noexcept
+{
+    return state_->missing();
+}
+
 std::size_t request_parser::memory_bytes() const noexcept
 {
     return buffer_.capacity() + state_->body.capacity();
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -24,6 +24,10 @@
 /// Of connections that wait to be accepted; a full queue costs a caller seconds.
 constexpr int accept_backlog = 1024;
 constexpr int millis_per_second = 1000;
+/// Limits of the kernel's buffers of a connection, which would grow to several megabytes if the
+/// peer does not read, or this process does not. The kernel doubles them for its own overhead.
+constexpr int send_buffer_bytes = 64 << 10;
+constexpr int receive_buffer_bytes = 64 << 10;
 /// Probes without an answer after which a silent connection is dead.
 constexpr int keepalive_probes = 2;
 
@@ -33,6 +37,13 @@
     (void)setsockopt(fd, level, name, &value, sizeof value);
 }
 
+/// Must precede `connect` and `listen`, as the window is chosen then. Accepted sockets inherit it.
+void limit_buffers(int fd)
+{
+    set_int(fd, SOL_SOCKET, SO_SNDBUF, send_buffer_bytes);
+    set_int(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
+}
+
 sockaddr_in address_of(const endpoint& it)
 {
     sockaddr_in out{};
@@ -83,6 +94,7 @@
         return out;
     }
     out->set_options(silence_limit);
+    limit_buffers(fd);
     const sockaddr_in address = address_of(to);
     // A failure shows as EPOLLERR or EPOLLHUP once the socket is watched.
     if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
@@ -393,6 +405,7 @@
         return nullptr;
     }
     set_int(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    limit_buffers(fd);
     const sockaddr_in address = address_of(at);
     if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
         listen(fd, accept_backlog) != 0) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_body_too_large = 413;
 constexpr unsigned status_head_too_large = 431;
+constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
 /// A connection on which sent bytes or keepalive probes stay unacknowledged for this long is
@@ -23,6 +24,12 @@
 /// Bytes of an answer that may wait for the end of the turn. What is unsent beyond them has been
 /// refused by the socket, so that `drained` follows; the exchange pauses reading until then.
 constexpr std::size_t max_deferred_bytes = std::size_t{64} << 10U;
+/// Requests up to this size are never rejected because memory is short.
+constexpr std::size_t small_request_bytes = std::size_t{16} << 10U;
+/// `Retry-After` of a request that is rejected because memory is short: uploads end within seconds.
+constexpr millis memory_retry_after{500};
+/// A request in flight is kept for its retries, and a copy of it may be unsent.
+constexpr std::size_t copies_in_flight = 2;
 /// Time that a caller has to close its side after the last answer.
 constexpr millis linger_timeout{2'000};
 
@@ -40,7 +47,8 @@
 
 caller_connection::caller_connection(caller_server& server, int fd)
     : server_{server}, stream_{net::tcp_stream::adopt(server.poller_, fd, unacknowledged_timeout)},
-      parser_{to_parse_limits(server.options_.limits())}
+      parser_{to_parse_limits(server.options_.limits())},
+      request_share_{server.options_.request_buffers}, answer_share_{server.options_.answer_buffers}
 {
 }
 
@@ -55,6 +63,7 @@
     net::tcp_stream::hooks hooks;
     hooks.bytes = [this](std::string_view bytes) { on_bytes(bytes); };
     hooks.drained = [this] {
+        answer_share_.set(0);
         if (exchange_) {
             exchange_->caller_drained();
         } else if (closing_when_sent_) {
@@ -108,6 +117,11 @@
     }
     const auto keep = shared_from_this();
     parser_.push(bytes);
+    const bool has_room = account_request();
+    if (!busy_ && !has_room && parser_.head_done() && parser_.fault() == http1::parse_fault::none) {
+        reject_for_memory();
+        return;
+    }
     if (!busy_) {
         advance();
     }
@@ -116,6 +130,35 @@
     }
 }
 
+bool caller_connection::account_request()
+{
+    const std::size_t bytes = parser_.memory_bytes();
+    request_share_.set(bytes + dispatched_bytes_);
+    const std::uint64_t missing = parser_.missing_bytes();
+    return bytes + missing <= small_request_bytes ||
+           server_.options_.request_buffers->has_room(missing);
+}
+
+void caller_connection::account_answer()
+{
+    if (stream_->unsent() > max_deferred_bytes) {
+        stream_->write_now();
+    }
+    answer_share_.set(stream_->unsent() > max_deferred_bytes ? stream_->unsent() : 0);
+}
+
+void caller_connection::reject_for_memory()
+{
+    if (server_.options_.request_rejected) {
+        server_.options_.request_rejected(std::move(parser_.head()));
+    }
+    parser_.abandon();
+    request_share_.set(0);
+    keep_alive_ = false; // the rest of the request follows
+    busy_ = true;
+    respond(gateway::gateway_response(status_unavailable, memory_retry_after), {});
+}
+
 void caller_connection::advance()
 {
     if (parser_.fault() != http1::parse_fault::none) {
@@ -174,8 +217,10 @@
     keep_alive_ = parser_.head().keep_alive;
     bodyless_ = parser_.head().method == "HEAD";
     request_ = parser_.head().target;
+    dispatched_bytes_ = copies_in_flight * parser_.body().capacity();
     incoming_request request{std::move(parser_.head()), std::move(parser_.body()),
                              shared_from_this(), arrived_};
+    request_share_.set(parser_.memory_bytes() + dispatched_bytes_);
     if (auto started = server_.options_.handle(std::move(request))) {
         exchange_ = std::move(started);
         request_ = exchange_->id();
@@ -207,6 +252,7 @@
         out.append(body);
     }
     stream_->write(out);
+    account_answer();
     on_answer_complete();
 }
 
@@ -232,9 +278,7 @@
     std::string out;
     http1::append_chunk(out, bytes);
     stream_->write(out);
-    if (stream_->unsent() > max_deferred_bytes) {
-        stream_->write_now();
-    }
+    account_answer();
 }
 
 void caller_connection::end()
@@ -266,6 +310,8 @@
     }
     const auto keep = shared_from_this();
     exchange_.reset();
+    dispatched_bytes_ = 0;
+    account_request();
     if (!keep_alive_ || closed_) {
         close_when_sent();
         return;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -63,6 +63,12 @@
     void reject(http1::parse_fault fault);
     void on_request();
     void on_answer_complete();
+    /// Accounts for the memory of the request. Returns whether there is room for the rest of it.
+    bool account_request();
+    /// Writes what must not wait for the end of the turn, and accounts for what the socket refuses.
+    void account_answer();
+    /// Rejects a request that is being read because memory is short.
+    void reject_for_memory();
     void arm_timer();
     void on_timeout();
     void close_when_sent();
@@ -85,7 +91,10 @@
     std::unique_ptr<gateway::exchange> exchange_;
     std::uint64_t timer_ = 0;
     instant arrived_;
-    std::string request_; ///< see `connection_loss::request`
+    gateway::buffer_share request_share_;
+    gateway::buffer_share answer_share_;
+    std::size_t dispatched_bytes_ = 0; ///< memory of the body of the request in flight
+    std::string request_;              ///< see `connection_loss::request`
     bool busy_ = false;
     bool held_ = false;
     bool keep_alive_ = true;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hickorypost/gateway/accept_queue.h"
+#include "hickorypost/gateway/buffer_budget.h"
 #include "hickorypost/gateway/exchange.h"
 #include "hickorypost/http1/parser.h"
 #include "hickorypost/net/poller.h"
@@ -77,6 +78,14 @@
         std::function<void(int error)> listen_failed = nullptr;
         /// Listening has succeeded, this long after it first failed.
         std::function<void(millis waited)> listen_recovered = nullptr;
+        /// Memory for requests that are being read or in flight, and for answers that have not been
+        /// written to the sockets.
+        std::shared_ptr<gateway::buffer_budget> request_buffers =
+            std::make_shared<gateway::buffer_budget>(0);
+        std::shared_ptr<gateway::buffer_budget> answer_buffers =
+            std::make_shared<gateway::buffer_budget>(0);
+        /// A request was rejected before its body was read to the end, because memory is short.
+        std::function<void(http1::request_head)> request_rejected = nullptr;
     };
 
     /// Listens on `address`, or waits for it after a transient failure. Returns null and sets errno
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr std::string_view callers_name = "callers";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
@@ -43,6 +44,9 @@
 /// Maximum size of a request body on the control port, such as a configuration. The platform's own
 /// limit is lower.
 constexpr std::uint64_t max_control_body_bytes = std::uint64_t{8} << 20U;
+constexpr std::size_t request_memory_divisor = 4;
+constexpr std::size_t answer_memory_divisor = 6;
+constexpr std::size_t control_memory_divisor = 8;
 
 /// Half of the descriptors that the process may have; the rest is for backend servers, other hosts
 /// and files.
@@ -53,6 +57,16 @@
     return known ? static_cast<std::size_t>(out.rlim_cur) / 2 : 0;
 }
 
+/// A budget of a part of the memory that the process may use. The kernel's buffers and the rest of
+/// the process need more than half of it.
+std::shared_ptr<gateway::buffer_budget> share_of_memory(const gateway_settings& config,
+                                                        std::size_t divisor, std::size_t least)
+{
+    const std::size_t memory =
+        config.memory_bytes > 0 ? config.memory_bytes : machine_memory_bytes();
+    return std::make_shared<gateway::buffer_budget>(std::max(memory / divisor, least));
+}
+
 /// Limits of the connections to the control, readiness and metrics ports.
 gateway::caller_limits control_limits()
 {
@@ -152,7 +166,10 @@
                  [this](instant due, std::function<void()> callback) {
                      timers_.add(due, std::move(callback));
                  }},
-      journal_{env, config_.log_requests_per_second},
+      journal_{env, config_.log_requests_per_second}, request_buffers_{share_of_memory(
+                                                          config_, request_memory_divisor, 0)},
+      answer_buffers_{share_of_memory(config_, answer_memory_divisor, 0)},
+      control_buffers_{share_of_memory(config_, control_memory_divisor, max_control_body_bytes)},
       services_{directory_,
                 balancer_,
                 rollouts_,
@@ -187,7 +204,8 @@
                 },
                 [this](const std::string& account, double work_ms) {
                     shares_.record(account, work_ms, env_.now());
-                }}
+                },
+                answer_buffers_}
 {
     shares_.set_weights(config_.account_weights);
     balancer_.on_remote_load = [this] { admission_.load_changed(); };
@@ -294,7 +312,7 @@
                              })}));
     BOOST_LEAF_ASSIGN(
         callers_server_,
-        serve("callers", config_.callers,
+        serve(callers_name, config_.callers,
               {[this] {
                    return route_table_ ? route_table_->config().limits : gateway::caller_limits{};
                },
@@ -336,6 +354,14 @@
     if (!endpoint) {
         return leaf::new_error(net::listen_error{text, "not an IPv4 address"});
     }
+    options.request_buffers = name == callers_name ? request_buffers_ : control_buffers_;
+    options.answer_buffers = answer_buffers_;
+    options.request_rejected = [this](http1::request_head head) {
+        env_.metrics.count("requests_rejected_for_memory_total");
+        journal_.rejected(platform::decode_request(std::move(head), {}), status_unavailable,
+                          "memory for requests is used up",
+                          route_table_ ? route_table_->config().version : 0);
+    };
     options.connection_lost = [this](const connection_loss& loss) { journal_.lost(loss); };
     options.listen_failed = [this, name, text](int error) {
         env_.log->warn("{} listener waits for {}: {}", name, text, std::strerror(error));
@@ -698,6 +724,14 @@
     set_buffered("backend_requests", pool_.unsent_bytes());
     set_buffered("kernel_unsent", buffered.kernel_unsent);
     set_buffered("kernel_unread", buffered.kernel_unread);
+    const auto set_budget = [&](std::string_view of, const gateway::buffer_budget& budget) {
+        const std::string label = "{of=\"" + std::string{of} + "\"}";
+        metrics.set("buffer_budget_used_bytes" + label, static_cast<double>(budget.used()));
+        metrics.set("buffer_budget_limit_bytes" + label, static_cast<double>(budget.limit()));
+    };
+    set_budget("requests", *request_buffers_);
+    set_budget("answers", *answer_buffers_);
+    set_budget("control", *control_buffers_);
     metrics.set("requests_in_flight", static_cast<double>(callers_server_->in_flight()));
     metrics.set("control_unsent_bytes", static_cast<double>(control_server_->unsent_bytes()));
     metrics.set("link_unsent_bytes", static_cast<double>(mesh_->unsent_bytes()));
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -106,6 +106,9 @@
     gateway::backend_backoff backoffs_;
     scheduling::admission_coordinator admission_;
     request_journal journal_;
+    std::shared_ptr<gateway::buffer_budget> request_buffers_;
+    std::shared_ptr<gateway::buffer_budget> answer_buffers_;
+    std::shared_ptr<gateway::buffer_budget> control_buffers_; ///< requests on the other ports
     gateway::exchange_services services_;
     std::unique_ptr<peer_mesh> mesh_;
     std::unique_ptr<control_plane> control_;
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -627,4 +627,65 @@
     }
 }
 
+// Guards against reading bodies that there is no memory for, and against memory that is not
+// returned after such a request or its connection has ended.
+BOOST_AUTO_TEST_CASE(request_whose_body_has_no_room_is_rejected_before_it_is_read)
+{
+    constexpr std::size_t limit = std::size_t{64} << 10U;
+    net::poller poller;
+    fake_scheduler timers;
+    std::size_t handled = 0;
+    std::vector<std::string> rejected;
+    std::shared_ptr<gateway::caller_port> answer;
+    const auto budget = std::make_shared<gateway::buffer_budget>(limit);
+    const net::endpoint address = unused_address();
+    const auto server = caller_server::open(
+        poller, timers, [&timers] { return timers.now; }, address,
+        {.limits = [] { return gateway::caller_limits{}; },
+         .handle =
+             [&](const incoming_request& request) {
+                 ++handled;
+                 answer = request.answer;
+                 return nullptr;
+             },
+         .request_buffers = budget,
+         .request_rejected =
+             [&rejected](const http1::request_head& head) { rejected.push_back(head.target); }});
+    const auto upload = [&](const std::string& target, std::size_t length, std::size_t sent) {
+        return send_bytes(address, "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                                       std::to_string(length) + "\r\n\r\n" +
+                                       std::string(sent, 'x'));
+    };
+    const auto status_of = [](int fd) {
+        std::array<char, 12> buf{};
+        const ssize_t n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+        return n > 0 ? std::string{buf.data(), static_cast<std::size_t>(n)} : std::string{};
+    };
+    const int large = upload("/large", limit * 2, 1);
+    run_main_loop();
+    BOOST_TEST(rejected == std::vector<std::string>{"/large"});
+    BOOST_TEST(status_of(large) == "HTTP/1.1 503");
+    BOOST_TEST(budget->used() < 100U);
+    const int held = upload("/held", 40'000, 39'999);
+    run_main_loop();
+    BOOST_TEST(budget->used() >= 39'999U);
+    const int second = upload("/second", 40'000, 1);
+    const int small = upload("/small", 5, 5);
+    run_main_loop();
+    BOOST_TEST(rejected.back() == "/second");
+    BOOST_TEST(handled == 1U);
+    answer->respond(gateway::gateway_response(200), {});
+    ::close(held);
+    run_main_loop();
+    BOOST_TEST(budget->used() < limit / 2);
+    const int third = upload("/third", 30'000, 30'000);
+    run_main_loop();
+    BOOST_TEST(handled == 2U);
+    for (const int fd : {large, second, small, third}) {
+        ::close(fd);
+    }
+    run_main_loop();
+    BOOST_TEST(rejected.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
