[gateway] Let answers outlive their server

A call on the control port that is unanswered when the process ends keeps its connection alive after the server, whose poller and timers the connection's destructor then used: undefined behaviour at the exit, which may end the process by a signal. The connection keeps its own references to both.

Found by a unit test that holds an answer longer than its server and crashed; answer_may_outlive_its_server guards it.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 caller_connection::caller_connection(caller_server& server, int fd)
-    : server_{server}, stream_{net::tcp_stream::adopt(server.poller_, fd, unacknowledged_timeout)},
+    : server_{server}, poller_{server.poller_}, timers_{server.timers_},
+      stream_{net::tcp_stream::adopt(poller_, fd, unacknowledged_timeout)},
       parser_{to_parse_limits(server.options_.limits())},
       request_share_{server.options_.request_buffers}, answer_share_{server.options_.answer_buffers}
 {
@@ -54,8 +55,8 @@
 
 caller_connection::~caller_connection()
 {
-    server_.timers_.cancel(timer_);
-    server_.poller_.forget(*this);
+    timers_.cancel(timer_);
+    poller_.forget(*this);
 }
 
 void caller_connection::start()
@@ -82,8 +83,8 @@
 {
     const auto limits = server_.options_.limits();
     timing_request_ = parser_.begun();
-    server_.timers_.cancel(timer_);
-    timer_ = server_.timers_.add(
+    timers_.cancel(timer_);
+    timer_ = timers_.add(
         server_.now_() + (timing_request_ ? limits.head_timeout : limits.idle_timeout), [this] {
             timer_ = 0;
             on_timeout();
@@ -197,14 +198,14 @@
     answer_begun_ = false;
     accepts_interim_ = parser_.head().accepts_interim;
     arrived_ = server_.now_();
-    server_.timers_.cancel(std::exchange(timer_, 0));
+    timers_.cancel(std::exchange(timer_, 0));
     const auto& options = server_.options_;
     held_ = options.may_handle && !options.may_handle();
     if (!held_) {
         dispatch();
         return;
     }
-    timer_ = server_.timers_.add(arrived_ + options.max_hold_time, [this] {
+    timer_ = timers_.add(arrived_ + options.max_hold_time, [this] {
         timer_ = 0;
         dispatch();
     });
@@ -213,7 +214,7 @@
 void caller_connection::dispatch()
 {
     held_ = false;
-    server_.timers_.cancel(std::exchange(timer_, 0));
+    timers_.cancel(std::exchange(timer_, 0));
     keep_alive_ = parser_.head().keep_alive;
     bodyless_ = parser_.head().method == "HEAD";
     request_ = parser_.head().target;
@@ -300,7 +301,7 @@
 void caller_connection::on_answer_complete()
 {
     answer_complete_ = true;
-    server_.poller_.flush_later(*this);
+    poller_.flush_later(*this);
 }
 
 void caller_connection::flush()
@@ -392,8 +393,8 @@
 
 void caller_connection::close_after(millis limit)
 {
-    server_.timers_.cancel(timer_);
-    timer_ = server_.timers_.add(server_.now_() + limit, [this] {
+    timers_.cancel(timer_);
+    timer_ = timers_.add(server_.now_() + limit, [this] {
         timer_ = 0;
         const auto keep = shared_from_this();
         close();
@@ -462,7 +463,7 @@
     report_loss(false);
     closed_ = true;
     exchange_.reset();
-    server_.timers_.cancel(std::exchange(timer_, 0));
+    timers_.cancel(std::exchange(timer_, 0));
     stream_->close();
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -85,7 +85,9 @@
     /// The caller has closed the connection or it has failed.
     void on_ended(net::stream_end how);
 
-    caller_server& server_;
+    caller_server& server_; ///< not to be used once `closed_`: the server may have been destroyed
+    net::poller& poller_;
+    gateway::scheduler& timers_;
     std::unique_ptr<net::tcp_stream> stream_;
     http1::request_parser parser_;
     std::unique_ptr<gateway::exchange> exchange_;
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -688,4 +688,29 @@
     BOOST_TEST(rejected.size() == 2U);
 }
 
+// Guards against a process that crashes at its exit because a call is unanswered.
+BOOST_AUTO_TEST_CASE(answer_may_outlive_its_server)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    std::shared_ptr<gateway::caller_port> answer;
+    const net::endpoint address = unused_address();
+    auto server = caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                                      {.limits = [] { return gateway::caller_limits{}; },
+                                       .handle =
+                                           [&answer](const incoming_request& request) {
+                                               answer = request.answer;
+                                               return nullptr;
+                                           }});
+    const int caller = send_request(address, "/");
+    run_main_loop();
+    BOOST_REQUIRE(answer);
+    server.reset();
+    BOOST_TEST(answer->is_closed());
+    answer->respond(gateway::gateway_response(200), {});
+    answer.reset();
+    run_main_loop();
+    ::close(caller);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
