[tests] Give each server of the drain interleavings an address of its own

streamed_answer_is_complete_in_any_interleaving_with_the_drain leaves some 6,000 connections in TIME-WAIT, all at ports of 127.0.0.1. A few runs within a minute used up its local ports, so that servers did not start, and tests of other programs beside it failed to find ports. Each server now listens at a loopback address of its own; nothing that is checked changes.

--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -16,9 +16,13 @@
 using namespace hickorypost;
 using namespace hickorypost::testing;
 
+/// A free port of a loopback address that no other call returns: the connections of thousands of
+/// cases stay in TIME-WAIT and would use up the ports of a shared one.
 net::endpoint unused_address()
 {
-    return loopback_listener{}.address();
+    constexpr std::uint32_t first = 0x7F640001; // 127.100.0.1
+    static std::uint32_t calls = 0;
+    return loopback_listener{first + calls++}.address();
 }
 
 struct stream_case {
--- a/tests/gateway/loopback_listener.h
+++ b/tests/gateway/loopback_listener.h
@@ -10,15 +10,17 @@
 
 namespace hickorypost::testing {
 
-/// Listens on a free port of the loopback address until it is closed.
+/// Listens on a free port of a loopback address until it is closed.
 class loopback_listener {
 public:
-    loopback_listener() : fd_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)}
+    /// `ip` in host byte order.
+    explicit loopback_listener(std::uint32_t ip = INADDR_LOOPBACK)
+        : fd_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)}, ip_{htonl(ip)}
     {
         sockaddr_in address{};
         socklen_t size = sizeof address;
         address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_addr.s_addr = ip_;
         auto* const raw = reinterpret_cast<sockaddr*>(&address);
         if (::bind(fd_, raw, size) == 0 && ::listen(fd_, 16) == 0 &&
             ::getsockname(fd_, raw, &size) == 0) {
@@ -60,10 +62,11 @@
     }
     /// Accepts a connection without closing it; -1 if none is pending.
     [[nodiscard]] int accept() const { return ::accept(fd_, nullptr, nullptr); }
-    [[nodiscard]] net::endpoint address() const { return {htonl(INADDR_LOOPBACK), port_}; }
+    [[nodiscard]] net::endpoint address() const { return {ip_, port_}; }
 
 private:
     int fd_;
+    std::uint32_t ip_; ///< network byte order
     std::uint16_t port_ = 0;
 };
 
