[gateway] Send streams to callers of HTTP/1.0 without chunks

Streamed answers were sent in chunks to every caller. HTTP/1.0 has none: such a caller got chunk sizes inside its answer, and could wait for the end of a connection that stayed open. Its answer now ends with the connection, and one that is broken off ends with a reset, as nothing else tells it from a complete one.

streamed_answer_to_http_1_0_ends_with_its_connection fails with the old framing and passes.

--- a/modules/http1/include/hickorypost/http1/message.h
+++ b/modules/http1/include/hickorypost/http1/message.h
@@ -53,7 +53,7 @@
     field_list fields;
     bool keep_alive = true;
     bool expects_continue = false;
-    bool accepts_interim = true; ///< interim responses (1xx), which HTTP/1.0 does not have
+    bool is_http_1_1 = true; ///< HTTP/1.0 has neither interim responses (1xx) nor chunks
 };
 
 struct response_head {
--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -43,7 +43,7 @@
         constexpr int http_1_1 = 11;
         request.method = plain(method);
         request.target = plain(target);
-        request.accepts_interim = version >= http_1_1;
+        request.is_http_1_1 = version >= http_1_1;
     }
     void on_response_impl(int status, view reason, int, error_code&) override
     {
--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -68,6 +68,8 @@
     void close();
     /// Closes without sending what is buffered.
     void abort();
+    /// Closes so that the peer sees a failure, also if it has read all that was sent.
+    void reset();
     /// Stops or resumes reading. The peer's close is reported in both cases.
     void set_reading(bool on);
 
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -246,6 +246,14 @@
     release();
 }
 
+void tcp_stream::reset()
+{
+    const linger at_once{1, 0};
+    // Refused only for a connection that has ended already.
+    (void)::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    abort();
+}
+
 void tcp_stream::shut_down_output() const
 {
     if (fd_ >= 0) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -196,7 +196,7 @@
 {
     busy_ = true;
     answer_begun_ = false;
-    accepts_interim_ = parser_.head().accepts_interim;
+    is_http_1_1_ = parser_.head().is_http_1_1;
     arrived_ = server_.now_();
     timers_.cancel(std::exchange(timer_, 0));
     const auto& options = server_.options_;
@@ -262,9 +262,11 @@
     if (closed_) {
         return;
     }
-    keep_alive_ = stays_open();
+    keep_alive_ = is_http_1_1_ && stays_open();
     answer_begun_ = true;
-    head.fields.add("Transfer-Encoding", "chunked");
+    if (is_http_1_1_) {
+        head.fields.add("Transfer-Encoding", "chunked");
+    }
     if (!keep_alive_) {
         head.fields.add("Connection", "close");
     }
@@ -276,9 +278,13 @@
     if (closed_) {
         return;
     }
-    std::string out;
-    http1::append_chunk(out, bytes);
-    stream_->write(out);
+    if (is_http_1_1_) {
+        std::string out;
+        http1::append_chunk(out, bytes);
+        stream_->write(out);
+    } else {
+        stream_->write(bytes);
+    }
     account_answer();
 }
 
@@ -287,7 +293,9 @@
     if (closed_) {
         return;
     }
-    stream_->write(http1::last_chunk);
+    if (is_http_1_1_) {
+        stream_->write(http1::last_chunk);
+    }
     on_answer_complete();
 }
 
@@ -295,6 +303,7 @@
 {
     // The last chunk is left out, so that the caller detects the incomplete answer.
     keep_alive_ = false;
+    resets_ = !is_http_1_1_;
     on_answer_complete();
 }
 
@@ -313,6 +322,11 @@
     exchange_.reset();
     dispatched_bytes_ = 0;
     account_request();
+    if (resets_ && !closed_) {
+        close();
+        server_.remove(this);
+        return;
+    }
     if (!keep_alive_ || closed_) {
         close_when_sent();
         return;
@@ -432,7 +446,7 @@
     if (!busy_) {
         keep_alive_ = false;
         on_answer_complete();
-    } else if (!answer_begun_ && accepts_interim_) {
+    } else if (!answer_begun_ && is_http_1_1_) {
         // A caller that has closed its connection resets it when bytes arrive, so that its request
         // is cancelled. Any other caller ignores an interim response.
         stream_->write(continue_response);
@@ -464,7 +478,11 @@
     closed_ = true;
     exchange_.reset();
     timers_.cancel(std::exchange(timer_, 0));
-    stream_->close();
+    if (resets_) {
+        stream_->reset();
+    } else {
+        stream_->close();
+    }
 }
 
 } // namespace hickorypost
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -101,7 +101,8 @@
     bool held_ = false;
     bool keep_alive_ = true;
     bool bodyless_ = false;        ///< the answer to HEAD has no body
-    bool accepts_interim_ = true;  ///< see `http1::request_head`
+    bool is_http_1_1_ = true;      ///< see `http1::request_head`
+    bool resets_ = false;          ///< the caller can tell only by a reset that the answer is cut
     bool answer_begun_ = false;    ///< the head of the answer has been written
     bool answer_complete_ = false; ///< `flush` prepares for the next request or closes
     bool input_ended_ = false;     ///< no further bytes of the caller follow
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -562,6 +562,28 @@
     BOOST_TEST(streaming.connections() == 0U);
 }
 
+// Guards against chunks and kept connections for callers of HTTP/1.0, which know neither, and
+// against an answer that looks complete to them although it was broken off.
+BOOST_AUTO_TEST_CASE(streamed_answer_to_http_1_0_ends_with_its_connection)
+{
+    constexpr std::string_view get = "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+    for (const bool complete : {true, false}) {
+        single_caller it{get};
+        BOOST_REQUIRE(it.answers.size() == 1U);
+        const auto answer = it.answers.back();
+        answer->begin(http1::response_head{.status = 200});
+        answer->piece("one ");
+        run_main_loop();
+        answer->piece("two");
+        complete ? answer->end() : answer->break_off();
+        BOOST_TEST(it.read_to_end() == complete);
+        BOOST_TEST(it.received.find("Transfer-Encoding") == std::string::npos);
+        BOOST_TEST(it.received.find("Connection: close") != std::string::npos);
+        BOOST_TEST(it.received.find("\r\n\r\none ") != std::string::npos);
+        BOOST_TEST((!complete || it.received.ends_with("one two")));
+    }
+}
+
 // Guards against a connection that stays open because its request never becomes complete.
 BOOST_AUTO_TEST_CASE(connection_that_ends_inside_a_request_is_closed)
 {
