[tests] List answers that stop while memory is short

An exchange pauses reading above an allowance of 16 KB and more, but up to 64 KB wait for the end of the turn without a try to write them, and drained follows only bytes that the socket has refused. bytes_above_the_smallest_allowance_... fails (16440 bytes unsent). answer_that_is_complete_may_outlive_its_server passes by luck: flush() calls a server that has ended.

--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -739,4 +739,60 @@
     ::close(caller);
 }
 
+// Guards against an answer that stops for ever: a backend server is read again only after the
+// socket has refused bytes and then taken them.
+BOOST_AUTO_TEST_CASE(bytes_above_the_smallest_allowance_have_been_refused_by_the_socket)
+{
+    constexpr std::size_t allowance = gateway::exchange_settings{}.min_answer_bytes;
+    net::poller poller;
+    fake_scheduler timers;
+    std::shared_ptr<gateway::caller_port> answer;
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&answer](const incoming_request& request) {
+                                     answer = request.answer;
+                                     return nullptr;
+                                 }});
+    const int caller = send_request(address, "/");
+    run_main_loop();
+    BOOST_REQUIRE(answer);
+    http1::response_head head;
+    head.status = 200;
+    answer->begin(std::move(head));
+    answer->piece(std::string(allowance + 1, 'x'));
+    BOOST_TEST(answer->unsent() == 0U);
+    answer->end();
+    answer.reset();
+    run_main_loop();
+    ::close(caller);
+}
+
+// Guards against use of a server that has ended by the turn in which its last answer is flushed.
+BOOST_AUTO_TEST_CASE(answer_that_is_complete_may_outlive_its_server)
+{
+    net::poller poller;
+    fake_scheduler timers;
+    std::shared_ptr<gateway::caller_port> answer;
+    const net::endpoint address = unused_address();
+    auto server = caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                                      {.limits = [] { return gateway::caller_limits{}; },
+                                       .handle =
+                                           [&answer](const incoming_request& request) {
+                                               answer = request.answer;
+                                               return nullptr;
+                                           }});
+    const int caller = send_request(address, "/");
+    run_main_loop();
+    BOOST_REQUIRE(answer);
+    answer->respond(gateway::gateway_response(200), {});
+    server.reset();
+    run_main_loop();
+    BOOST_TEST(answer->is_closed());
+    answer.reset();
+    ::close(caller);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
