--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -22,8 +22,9 @@
 /// connection is not read until that answer is complete.
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} << 10U;
 /// Bytes of an answer that may wait for the end of the turn. What is unsent beyond them has been
-/// refused by the socket, so that `drained` follows; the exchange pauses reading until then.
-constexpr std::size_t max_deferred_bytes = std::size_t{64} << 10U;
+/// refused by the socket, so that `drained` follows; the exchange pauses reading until then. Not
+/// more than the smallest allowance, or reading would pause for bytes whose `drained` never comes.
+constexpr std::size_t max_deferred_bytes = gateway::exchange_settings{}.min_answer_bytes;
 /// Requests up to this size are never rejected because memory is short.
 constexpr std::size_t small_request_bytes = std::size_t{16} << 10U;
 /// `Retry-After` of a request that is rejected because memory is short: uploads end within seconds.
@@ -321,13 +322,16 @@
     const auto keep = shared_from_this();
     exchange_.reset();
     dispatched_bytes_ = 0;
+    if (closed_) {
+        return; // what closed the connection has removed it from the server
+    }
     account_request();
-    if (resets_ && !closed_) {
+    if (resets_) {
         close();
         server_.remove(this);
         return;
     }
-    if (!keep_alive_ || closed_) {
+    if (!keep_alive_) {
         close_when_sent();
         return;
     }
