--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -795,4 +795,40 @@
     ::close(caller);
 }
 
+// Guards against a few large requests in flight that appear to use up the memory, so that others
+// are rejected.
+BOOST_AUTO_TEST_CASE(request_in_flight_accounts_for_its_bytes_and_not_for_spare_capacity)
+{
+    constexpr std::size_t length = 140'000; // read in several pieces, so that the body grows
+    net::poller poller;
+    fake_scheduler timers;
+    std::shared_ptr<gateway::caller_port> answer;
+    const auto budget = std::make_shared<gateway::buffer_budget>(std::size_t{1} << 20U);
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&answer](const incoming_request& request) {
+                                     answer = request.answer;
+                                     return nullptr;
+                                 },
+                             .request_buffers = budget});
+    const std::string head =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    const int caller = send_bytes(address, head);
+    const std::string piece(length / 10, 'x');
+    for (int n = 0; n < 10; ++n) {
+        BOOST_REQUIRE(::send(caller, piece.data(), piece.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(piece.size()));
+        run_main_loop();
+    }
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(budget->used() >= length);
+    BOOST_TEST(budget->used() <= 2 * length + 1'000);
+    answer.reset();
+    ::close(caller);
+    run_main_loop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
