--- a/modules/http1/tests/parser_test.cpp
+++ b/modules/http1/tests/parser_test.cpp
@@ -201,4 +201,15 @@
     BOOST_TEST(*it.find("x-kept") == "2");
 }
 
+// Guards against requests that were given up and still take memory.
+BOOST_AUTO_TEST_CASE(abandoned_request_frees_its_memory)
+{
+    constexpr std::size_t length = 100'000;
+    request_parser parser{{}};
+    parser.push("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(length, 'x'));
+    BOOST_REQUIRE(parser.body().size() == length);
+    parser.abandon();
+    BOOST_TEST(parser.body().capacity() < 1'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
