[http1] Account for bytes of requests, and free those of abandoned ones

string = {} keeps the capacity, so that a request that was rejected for memory held its body until its connection had closed, and its share came back at flush(). And spare capacity counted twice per request in flight.

--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -95,6 +95,12 @@
     bool has_length_ = false;
 };
 
+/// Empties `it`, which an assignment would do without freeing its memory.
+void free_memory(std::string& it) noexcept
+{
+    std::string{}.swap(it);
+}
+
 /// Whether a response with this status ends with its head, whatever its fields say.
 bool has_no_body(unsigned status)
 {
@@ -154,7 +160,7 @@
     void abandon()
     {
         fault_ = parse_fault::cut_short;
-        body = {};
+        free_memory(body);
     }
 
     /// Whether bytes of a request line have arrived.
@@ -277,8 +283,10 @@
         buffer.append(bytes);
         buffer.erase(0, reader.read(buffer));
     }
-    if (reader.fault() != parse_fault::none) {
-        buffer = {};
+    constexpr std::size_t max_idle_bytes = std::size_t{16} << 10U;
+    if (reader.fault() != parse_fault::none ||
+        (buffer.empty() && buffer.capacity() > max_idle_bytes)) {
+        free_memory(buffer);
     }
 }
 
@@ -308,7 +316,7 @@
 
 void request_parser::abandon()
 {
-    buffer_ = {};
+    free_memory(buffer_);
     state_->abandon();
 }
 
@@ -359,7 +367,7 @@
 
 std::size_t request_parser::memory_bytes() const noexcept
 {
-    return buffer_.capacity() + state_->body.capacity();
+    return buffer_.size() + state_->body.size();
 }
 
 struct response_parser::state : message_reader<false> {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -219,7 +219,7 @@
     keep_alive_ = parser_.head().keep_alive;
     bodyless_ = parser_.head().method == "HEAD";
     request_ = parser_.head().target;
-    dispatched_bytes_ = copies_in_flight * parser_.body().capacity();
+    dispatched_bytes_ = copies_in_flight * parser_.body().size();
     incoming_request request{std::move(parser_.head()), std::move(parser_.body()),
                              shared_from_this(), arrived_};
     request_share_.set(parser_.memory_bytes() + dispatched_bytes_);
