--- a/review/common/site_hosts.py
+++ b/review/common/site_hosts.py
@@ -103,6 +103,7 @@
             "InternalPortRange": [port[3], port[3] + 15],
             "Seeds": [f"{it.ip}:{port[2]}" for it in seeds],
             "Bootstrap": bootstrap, "DataDir": self.data, "HeartbeatMs": 1200,
+            "Limits": {"MemoryMb": int(os.environ.get("MEMORY_MB", "110"))},
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
             "Bounds": {"DrainMs": 2000, "GraceS": 8, "ConfigApplyMs": 2000,
                        "RetryBudgetRatio": 0.9, "BudgetWindowS": 10, "RetryBudgetSlack": 58,
