[net] Handle input that arrived during a pause before timers

Cause: the main loop decides before it dispatches which sources are ready. If the timers are among them and the pause falls between that poll and timer_queue::run_due, run_due takes the time anew and runs the timers of the whole pause, but nothing reads what has arrived since the poll. Likewise if more than one batch of 256 sockets is ready.

Now the queue knows the poller. If the first due timer is more than 2 ms late, the poller handles what has arrived before the timers run: batches until one is not full, 16 at most, so that input without end can't keep timers waiting. The time is taken before, so a timer that runs is one whose deadline had passed when its input was read. Timers that are on time cost no further system call.

--- a/modules/net/include/hickorypost/net/poller.h
+++ b/modules/net/include/hickorypost/net/poller.h
@@ -43,10 +43,14 @@
     [[nodiscard]] micros turn_time() const;
     /// Takes back `flush_later` and `defer`; must be called before `what` goes.
     void forget(pollable& what);
+    /// Handles what has arrived by now, and no more than a bounded number of later events. Must not
+    /// be called during a turn.
+    void run_arrived();
 
 private:
     static gboolean on_ready(gint fd, GIOCondition condition, gpointer data);
-    void run_batch();
+    /// Returns whether there may be further events.
+    bool run_batch();
     void run_turn_end();
     void run_flushes();
     void arm_flush_source();
@@ -64,11 +68,14 @@
 };
 
 /// One-shot timers of one main context behind a single GLib source.
+///
+/// Input that arrived while the process was paused is handled before the timers that became due
+/// meanwhile, as these often limit the wait for such input.
 class timer_queue {
 public:
     using id = std::uint64_t;
 
-    explicit timer_queue(clock_fn now);
+    timer_queue(poller& input, clock_fn now);
     ~timer_queue();
     timer_queue(const timer_queue&) = delete;
     timer_queue& operator=(const timer_queue&) = delete;
@@ -88,6 +95,7 @@
     void run_due();
     void arm();
 
+    poller& input_;
     clock_fn now_;
     GSource* source_;
     std::multimap<instant, entry> queue_;
--- a/modules/net/src/poller.cpp
+++ b/modules/net/src/poller.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr int events_per_batch = 256;
+/// Batches in a row before timers run, so that input without end doesn't keep them waiting.
+constexpr int max_batches_in_a_row = 16;
+/// Timers that are later than this wait for arrived input. Main loops wake up to 1 ms late.
+constexpr millis late_timer{2};
 
 GSourceFuncs timer_funcs{
     nullptr,
@@ -107,12 +111,18 @@
     return G_SOURCE_CONTINUE;
 }
 
-void poller::run_batch()
+void poller::run_arrived()
+{
+    for (int n = 0; n < max_batches_in_a_row && run_batch(); ++n) {
+    }
+}
+
+bool poller::run_batch()
 {
     std::array<epoll_event, events_per_batch> events{};
     const int n = epoll_wait(epoll_fd_, events.data(), events_per_batch, 0);
     if (n <= 0) {
-        return;
+        return false;
     }
     turn_began_ = g_get_monotonic_time();
     in_turn_ = true;
@@ -127,6 +137,7 @@
     }
     batch_.clear();
     run_turn_end();
+    return n == events_per_batch;
 }
 
 void poller::run_turn_end()
@@ -164,8 +175,8 @@
     flushes_.clear();
 }
 
-timer_queue::timer_queue(clock_fn now)
-    : now_{std::move(now)}, source_{g_source_new(&timer_funcs, sizeof(GSource))}
+timer_queue::timer_queue(poller& input, clock_fn now)
+    : input_{input}, now_{std::move(now)}, source_{g_source_new(&timer_funcs, sizeof(GSource))}
 {
     g_source_set_callback(source_, on_due, this, nullptr);
     g_source_attach(source_, g_main_context_get_thread_default());
@@ -209,7 +220,11 @@
 
 void timer_queue::run_due()
 {
+    // Taken before the input is read, so that input is late only if it arrived after the deadline.
     const instant now = now_();
+    if (!queue_.empty() && queue_.begin()->first + late_timer < now) {
+        input_.run_arrived();
+    }
     while (!queue_.empty() && queue_.begin()->first <= now) {
         const auto it = queue_.begin();
         const auto hook = std::move(it->second.hook);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -82,7 +82,7 @@
     : env_{env}, config_{*env.config.gateway}, poller_{[this](std::int64_t took) {
           on_iteration(micros{took});
       }},
-      timers_{env.now}, directory_{{}, env.config.node.failure_domain},
+      timers_{poller_, env.now}, directory_{{}, env.config.node.failure_domain},
       balancer_{config_.decisions.balancer, env.config.node.failure_domain, env.random,
                 [this](const std::string& backend, const gateway::remote_load& own) {
                     if (backend_feed_) {
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -35,7 +35,7 @@
     /// Implements the exchange's scheduler with timers of the main context.
     class timers_port final : public gateway::scheduler {
     public:
-        explicit timers_port(clock_fn now) : queue_{std::move(now)} {}
+        timers_port(net::poller& input, clock_fn now) : queue_{input, std::move(now)} {}
         std::uint64_t add(instant due, std::function<void()> hook) override
         {
             return queue_.add(due, std::move(hook));
