[gateway] Reject waiting requests that a drain could cut

Callers whose requests waited for admission when their host began to drain, or that arrived at it later, had them sent to an engine late. What was left of the grace did not suffice for the answer, so that the end of the drain cut it (host_exits): a stream broken off, or 504 for a request that must not run again. Cause: the drain was announced to connections only; an exchange learnt of it at its end.

caller_server::begin_drain now tells the exchanges, and exchange_services holds the end of the drain. A request that would have to wait for admission, or for a first backend server, is answered 503 with Retry-After at once if its deadline is later than that end. It has not run, and the caller's retry meets another host. Kept as they are: requests that begin at once; those whose deadline is before the end of the drain, as the drain can't cut them, and elsewhere they would lose their place in the queue; and the waits for a permit or a backend server that backs off, which last 0.1 s at most, less than a caller's retry.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -160,6 +160,8 @@
         [](const std::string&, double) {};
     /// Memory for answers that are kept or that callers have not read.
     std::shared_ptr<buffer_budget> answer_buffers = std::make_shared<buffer_budget>(0);
+    /// While this host drains: the time at which it ends the requests that are left.
+    std::optional<instant> drain_end = std::nullopt;
 };
 
 /// Handles one request until its answer is complete: chooses backend servers, sends attempts,
@@ -182,6 +184,9 @@
     /// This host is about to exit. Sends the caller an error now, or breaks its answer off if part
     /// of it has been sent.
     void host_exits();
+    /// This host drains until `drain_end`. Rejects the request if it waits for admission and might
+    /// be cut off then.
+    void host_drains();
     /// A suspect has become refused. Cancels an attempt that is now known to crash its backend
     /// server.
     void suspects_changed();
@@ -225,6 +230,11 @@
     bool try_admit(const backend_entry& to, std::span<const backend_entry* const> candidates,
                    const job_size& job);
     void reject_overload(millis retry_after, std::string_view why);
+    /// Whether the request is over before this host exits, however late it is sent.
+    [[nodiscard]] bool may_begin_late() const;
+    void reject_for_drain();
+    /// Time that the request has waited for admission.
+    [[nodiscard]] micros time_queued() const;
     /// Expected wait on an engine up to which requests are sent there; 0 if admission control does
     /// not apply to the request's service.
     [[nodiscard]] micros max_backlog() const;
--- a/modules/gateway/src/exchange.cpp
+++ b/modules/gateway/src/exchange.cpp
@@ -224,7 +224,7 @@
         abort("the failure domains of all backend servers are evacuated");
         return;
     }
-    if (to == nullptr && record_.candidates == 0 && wait_for_backends()) {
+    if (to == nullptr && record_.candidates == 0 && may_begin_late() && wait_for_backends()) {
         return;
     }
     if (to == nullptr) {
--- a/modules/gateway/src/exchange_admission.cpp
+++ b/modules/gateway/src/exchange_admission.cpp
@@ -68,11 +68,15 @@
     switch (out.what) {
     case scheduling::admission::send:
         if (has_waited) {
-            record_.waited = now - queued_at_;
+            record_.waited = time_queued();
             services_.note(record_, "dequeued", "an engine has room");
         }
         return true;
     case scheduling::admission::wait:
+        if (!may_begin_late()) {
+            reject_for_drain();
+            return false;
+        }
         if (!has_waited) {
             queued_at_ = now;
             services_.note(record_, "queued", "all engines have a backlog");
@@ -100,11 +104,35 @@
 
 void exchange::reject_overload(millis retry_after, std::string_view why)
 {
-    record_.waited = queued_at_ == instant{} ? micros{0} : services_.now() - queued_at_;
+    record_.waited = time_queued();
     record_.retry_after = retry_after;
     services_.note(record_, "rejected_overload", why);
     caller_.respond(gateway_response(status_unavailable, retry_after), {});
     finish(exchange_outcome::not_run, status_unavailable, why);
 }
 
+micros exchange::time_queued() const
+{
+    return queued_at_ == instant{} ? micros{0} : services_.now() - queued_at_;
+}
+
+bool exchange::may_begin_late() const
+{
+    return !services_.drain_end || deadline_ <= *services_.drain_end;
+}
+
+void exchange::host_drains()
+{
+    const bool is_queued = queued_at_ != instant{} && record_.attempts == 0;
+    if (!finished_ && is_queued && !may_begin_late()) {
+        reject_for_drain();
+    }
+}
+
+void exchange::reject_for_drain()
+{
+    record_.waited = time_queued();
+    stop("host is draining");
+}
+
 } // namespace hickorypost::gateway
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -375,6 +375,13 @@
     }
 }
 
+void caller_connection::host_drains()
+{
+    if (exchange_) {
+        exchange_->host_drains();
+    }
+}
+
 void caller_connection::close_when_sent()
 {
     if (closed_) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -31,6 +31,8 @@
     void finish_request();
     /// Passes on that a request or a prompt part has become refused.
     void suspects_changed();
+    /// See `exchange::host_drains`.
+    void host_drains();
     /// Whether the caller may not have received its whole answer yet.
     [[nodiscard]] bool answer_pending() const noexcept
     {
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -213,6 +213,14 @@
     }
 }
 
+void caller_server::begin_drain()
+{
+    draining_ = true;
+    for (const auto& connection : busy_connections()) {
+        connection->host_drains();
+    }
+}
+
 void caller_server::close_idle()
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -100,8 +100,8 @@
     caller_server(const caller_server&) = delete;
     caller_server& operator=(const caller_server&) = delete;
 
-    /// From now on each answer closes its connection.
-    void begin_drain() { draining_ = true; }
+    /// From now on each answer closes its connection. Passes the drain on to all exchanges.
+    void begin_drain();
     /// Dispatches the held requests, as many in a turn of the main loop as `accept_queue` allows.
     /// Call once `may_handle` returns true.
     void release_held();
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -651,6 +651,7 @@
 {
     draining_ = true;
     drain_began_ = env_.now();
+    services_.drain_end = drain_began_ + config_.grace - kill_margin;
     callers_server_->begin_drain();
     if (callers_server_->has_listened()) {
         min_drain_time_ = min_drain_time;
@@ -678,7 +679,7 @@
     if (callers_left && pending > 0 && !std::exchange(awaiting_control_responses_, true)) {
         env_.log->info("no callers left; finishing {} responses on the control port", pending);
     }
-    if ((callers_left && pending == 0) || elapsed >= config_.grace - kill_margin) {
+    if ((callers_left && pending == 0) || env_.now() >= *services_.drain_end) {
         env_.log->info("drained: {} requests ended early, {} control calls aborted",
                        callers_server_->in_flight(), pending);
         callers_server_->finish_requests();
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -2,8 +2,8 @@
 
 #include "gateway/caller_server.h"
 
-#include "fakes.h"
 #include "loopback_listener.h"
+#include "one_gateway.h"
 
 #include <algorithm>
 #include <array>
@@ -535,6 +535,47 @@
     BOOST_TEST(second.ends_with("second"));
 }
 
+// Guards against a drain that requests which wait for admission do not learn of.
+BOOST_AUTO_TEST_CASE(waiting_request_is_answered_503_when_the_drain_begins)
+{
+    one_gateway it;
+    it.asked_tokens = 1000;
+    site_config config = it.table->config();
+    config.services.front().engine = engine_spec{};
+    it.table = std::make_shared<const route_table>(config);
+    for (const auto* const id : {"b1", "b2", "b3"}) {
+        it.balancer.set_remote_load(id, {1, 400});
+    }
+    net::poller poller;
+    const auto address = unused_address();
+    const auto server =
+        caller_server::open(poller, it.timers, [&] { return it.timers.now; }, address,
+                            {.limits = [] { return caller_limits{}; },
+                             .handle =
+                                 [&](const incoming_request& request) {
+                                     caller_request asked;
+                                     asked.id = "q";
+                                     asked.prompt_tokens = it.asked_tokens;
+                                     asked.arrived = it.timers.now;
+                                     return std::make_unique<exchange>(
+                                         it.services, *request.answer, std::move(asked), it.table,
+                                         it.table->config().routes.front(), nullptr);
+                                 }});
+    const int caller = send_request(address, "/");
+    run_main_loop();
+    BOOST_REQUIRE(it.admission.waiting()["app"] == 1U);
+    it.services.drain_end = it.timers.now + millis{1};
+    server->begin_drain();
+    run_main_loop();
+    std::array<char, 4096> buf{};
+    const ssize_t n = ::recv(caller, buf.data(), buf.size(), MSG_DONTWAIT);
+    const std::string answer{buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0))};
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("Retry-After") != std::string::npos);
+    BOOST_TEST(it.backends.attempts.empty());
+    ::close(caller);
+}
+
 // Guards against an interim response to a caller whose protocol version has none.
 BOOST_AUTO_TEST_CASE(half_closed_caller_of_http_1_0_gets_no_interim_response)
 {
