[net] Limit what a peer may send before its hello

A connection whose hello is not complete within 128 KiB is closed.

large_frame_before_the_hello_ends_the_connection guards it; it was not run on the code before.

--- a/modules/net/src/link.cpp
+++ b/modules/net/src/link.cpp
@@ -10,6 +10,8 @@
 /// Reads per wake-up; other links of the context get their turn after that.
 constexpr int reads_per_turn = 8;
 constexpr gint64 micros_per_milli = 1000;
+/// Bytes that a peer may send before its hello is complete. Until then it may be anyone.
+constexpr std::uint64_t max_bytes_before_hello = std::uint64_t{128} << 10U;
 
 bool is_would_block(const GError* error)
 {
@@ -138,6 +140,10 @@
         counters_.bytes_received += static_cast<std::uint64_t>(got);
         reader_.push({buf.data(), static_cast<std::size_t>(got)});
         take_frames();
+        if (!closed_ && !up_ && counters_.bytes_received > max_bytes_before_hello) {
+            close("hello larger than allowed");
+            return;
+        }
         if (static_cast<std::size_t>(got) < buf.size()) {
             return;
         }
--- a/modules/net/tests/link_test.cpp
+++ b/modules/net/tests/link_test.cpp
@@ -1,6 +1,9 @@
 #include "hickorypost/net/listener.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace {
 
@@ -102,6 +105,34 @@
     BOOST_TEST(it.last == "small");
 }
 
+// Guards against memory for large frames of peers that have not said who they are.
+BOOST_AUTO_TEST_CASE(large_frame_before_the_hello_ends_the_connection)
+{
+    std::string why;
+    link_hooks hooks;
+    hooks.up = [](net::link&) {};
+    hooks.message = [](net::link&, wire::message_type, std::string_view) {};
+    hooks.down = [&why](net::link&, std::string_view reason) { why = reason; };
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    gobject_ptr<GSocket> socket{g_socket_new_from_fd(ends[0], nullptr)};
+    gobject_ptr<GIOStream> stream{
+        G_IO_STREAM(g_socket_connection_factory_create_connection(socket.get()))};
+    const auto it = net::link::start(std::move(stream), hello_of("server"), {}, hooks);
+    std::string frame;
+    wire::append_frame(frame, 1, std::string(std::size_t{1} << 20U, 'x'));
+    std::size_t sent = 0;
+    BOOST_TEST(turn_until([&] {
+        const ssize_t n =
+            ::send(ends[1], frame.data() + sent, frame.size() - 1 - sent, MSG_NOSIGNAL);
+        sent += n > 0 ? static_cast<std::size_t>(n) : 0;
+        return !why.empty();
+    }));
+    BOOST_TEST(why == "hello larger than allowed");
+    BOOST_TEST(sent < frame.size() - 1);
+    ::close(ends[1]);
+}
+
 // Guards against a host that drops its links to hosts of a later release, which send it messages of
 // types that it does not know.
 BOOST_AUTO_TEST_CASE(message_of_an_unknown_type_leaves_the_link_up)
