[http1] Limit the lines of a head

A head may have 256 lines; a longer one is refused with 431, or fails the attempt.

head_with_too_many_fields_is_rejected guards it; it was not run on the code before.

--- a/modules/http1/src/head_scanner.cpp
+++ b/modules/http1/src/head_scanner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view line_break = "\r\n";
+/// Of a head. A parsed field takes a multiple of the bytes of a short line.
+constexpr std::size_t max_lines = 256;
 
 } // namespace
 
@@ -58,7 +60,10 @@
         start_line_ = end;
     }
     line_ = end;
-    ++lines_;
+    if (++lines_ > max_lines) {
+        fault_ = parse_fault::head_too_large;
+        return false;
+    }
     return is_blank;
 }
 
--- a/modules/http1/tests/parser_test.cpp
+++ b/modules/http1/tests/parser_test.cpp
@@ -212,4 +212,20 @@
     BOOST_TEST(parser.body().capacity() < 1'000U);
 }
 
+// Guards against heads whose short fields take many times their length in memory.
+BOOST_AUTO_TEST_CASE(head_with_too_many_fields_is_rejected)
+{
+    for (const std::size_t fields : {200U, 300U}) {
+        request_parser parser{{.head_bytes = 16'384, .body_bytes = 100}};
+        std::string text = "GET / HTTP/1.1\r\n";
+        for (std::size_t n = 0; n < fields; ++n) {
+            text += "a:\r\n";
+        }
+        parser.push(text + "\r\n");
+        BOOST_TEST(parser.done() == (fields == 200U));
+        BOOST_TEST(
+            (parser.fault() == (fields == 200U ? parse_fault::none : parse_fault::head_too_large)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
