[gateway] Count failures and partial events against the answers' budget

While memory is short their bound falls as that of other answers does.

less_of_failures_and_partial_events_is_kept_while_memory_is_short guards it; it was not run on the code before.

--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -196,7 +196,8 @@
 
 void exchange::buffer_failure(std::string_view bytes)
 {
-    if (buffered_body_.size() + bytes.size() <= services_.settings.max_buffered_bytes) {
+    if (buffered_body_.size() + bytes.size() <=
+        answer_allowance(services_.settings.max_buffered_bytes)) {
         buffered_body_.append(bytes);
         return;
     }
@@ -228,9 +229,12 @@
     if (const std::string whole = events_.push(bytes); !whole.empty()) {
         forward_events(whole, events_.events() - before);
     }
-    if (events_.too_large() || events_.out_of_order()) {
+    const bool too_large =
+        events_.too_large() ||
+        events_.partial_bytes() > answer_allowance(event_splitter::max_event_bytes);
+    if (too_large || events_.out_of_order()) {
         end_attempt(attempt_result::failed);
-        resume_or_retry(events_.too_large() ? "event too large" : "events out of order");
+        resume_or_retry(too_large ? "event too large" : "events out of order");
     }
 }
 
--- a/modules/gateway/tests/buffer_budget_test.cpp
+++ b/modules/gateway/tests/buffer_budget_test.cpp
@@ -77,4 +77,22 @@
     BOOST_TEST(it.caller.body == event(0) + event(1) + event(2));
 }
 
+// Guards against many failure answers and partial events that are small each and large together.
+BOOST_AUTO_TEST_CASE(less_of_failures_and_partial_events_is_kept_while_memory_is_short)
+{
+    for (const bool stream : {false, true}) {
+        for (const bool memory_is_short : {false, true}) {
+            one_gateway it;
+            const auto budget = std::make_shared<buffer_budget>(limit * 10'000);
+            it.services.answer_buffers = budget;
+            buffer_share others{budget};
+            others.set(memory_is_short ? budget->limit() : 0);
+            it.ask(stream ? as_stream : as_is);
+            it.answer(stream ? 200 : 500,
+                      std::string(it.services.settings.min_answer_bytes + 1, 'x'));
+            BOOST_TEST((it.backends.attempts.size() == 2U) == memory_is_short);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
