--- a/modules/http1/include/hickorypost/http1/parser.h
+++ b/modules/http1/include/hickorypost/http1/parser.h
@@ -45,7 +45,8 @@
     [[nodiscard]] std::size_t buffered() const noexcept { return buffer_.size(); }
     /// Bytes of the current body that are known to follow; 0 for a body in chunks.
     [[nodiscard]] std::uint64_t missing_bytes() const noexcept;
-    /// Memory that the unparsed bytes and the body take. Spare capacity takes none before it is used.
+    /// Memory that the unparsed bytes and the body take. Spare capacity takes none before it is
+    /// used.
     [[nodiscard]] std::size_t memory_bytes() const noexcept;
 
 private:
