--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -27,7 +27,7 @@
 constexpr int millis_per_second = 1000;
 /// Limits of the kernel's buffers of a connection, which would grow to several megabytes if the
 /// peer does not read, or this process does not. The kernel doubles them for its own overhead.
-constexpr int send_buffer_bytes = 32 << 10;
+constexpr int send_buffer_bytes = 64 << 10;
 constexpr int receive_buffer_bytes = 64 << 10;
 /// Probes without an answer after which a silent connection is dead.
 constexpr int keepalive_probes = 2;
