[tests] Split the tests of the server for callers

caller_server_test.cpp had 875 lines and three subjects, and its newest cases repeated the set-up of single_caller. The interleavings of a drain and the cases about memory are files of their own; the fixtures are in single_caller.h.

--- /dev/null
+++ b/tests/gateway/caller_memory_test.cpp
@@ -0,0 +1,136 @@
+/// What a server for callers holds in memory, and for how long, over real sockets.
+
+#include "single_caller.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace hickorypost;
+using namespace hickorypost::testing;
+
+constexpr std::string_view whole_get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_server_suite)
+
+// Guards against reading bodies that there is no memory for, and against memory that is not
+// returned after such a request or its connection has ended.
+BOOST_AUTO_TEST_CASE(request_whose_body_has_no_room_is_rejected_before_it_is_read)
+{
+    constexpr std::size_t limit = std::size_t{64} << 10U;
+    net::poller poller;
+    fake_scheduler timers;
+    std::size_t handled = 0;
+    std::vector<std::string> rejected;
+    std::shared_ptr<gateway::caller_port> answer;
+    const auto budget = std::make_shared<gateway::buffer_budget>(limit);
+    const net::endpoint address = unused_address();
+    const auto server = caller_server::open(
+        poller, timers, [&timers] { return timers.now; }, address,
+        {.limits = [] { return gateway::caller_limits{}; },
+         .handle =
+             [&](const incoming_request& request) {
+                 ++handled;
+                 answer = request.answer;
+                 return nullptr;
+             },
+         .request_buffers = budget,
+         .request_rejected =
+             [&rejected](const http1::request_head& head) { rejected.push_back(head.target); }});
+    const auto upload = [&](const std::string& target, std::size_t length, std::size_t sent) {
+        return send_bytes(address, "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                                       std::to_string(length) + "\r\n\r\n" +
+                                       std::string(sent, 'x'));
+    };
+    const auto status_of = [](int fd) {
+        std::array<char, 12> buf{};
+        const ssize_t n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+        return n > 0 ? std::string{buf.data(), static_cast<std::size_t>(n)} : std::string{};
+    };
+    const int large = upload("/large", limit * 2, 1);
+    run_main_loop();
+    BOOST_TEST(rejected == std::vector<std::string>{"/large"});
+    BOOST_TEST(status_of(large) == "HTTP/1.1 503");
+    BOOST_TEST(budget->used() < 100U);
+    const int held = upload("/held", 40'000, 39'999);
+    run_main_loop();
+    BOOST_TEST(budget->used() >= 39'999U);
+    const int second = upload("/second", 40'000, 1);
+    const int small = upload("/small", 5, 5);
+    run_main_loop();
+    BOOST_TEST(rejected.back() == "/second");
+    BOOST_TEST(handled == 1U);
+    answer->respond(gateway::gateway_response(200), {});
+    ::close(held);
+    run_main_loop();
+    BOOST_TEST(budget->used() < limit / 2);
+    const int third = upload("/third", 30'000, 30'000);
+    run_main_loop();
+    BOOST_TEST(handled == 2U);
+    for (const int fd : {large, second, small, third}) {
+        ::close(fd);
+    }
+    run_main_loop();
+    BOOST_TEST(rejected.size() == 2U);
+}
+
+// Guards against a process that crashes at its exit because a call is unanswered.
+BOOST_AUTO_TEST_CASE(answer_may_outlive_its_server)
+{
+    single_caller it{whole_get};
+    BOOST_REQUIRE(it.answers.size() == 1U);
+    const auto answer = it.answers.back();
+    it.end_server();
+    BOOST_TEST(answer->is_closed());
+    answer->respond(gateway::gateway_response(200), {});
+    run_main_loop();
+}
+
+// Guards against use of a server that has ended by the turn in which its last answer is flushed.
+BOOST_AUTO_TEST_CASE(answer_that_is_complete_may_outlive_its_server)
+{
+    single_caller it{whole_get};
+    BOOST_REQUIRE(it.answers.size() == 1U);
+    const auto answer = it.answers.back();
+    answer->respond(gateway::gateway_response(200), {});
+    it.end_server();
+    run_main_loop();
+    BOOST_TEST(answer->is_closed());
+}
+
+// Guards against an answer that stops for ever: a backend server is read again only after the
+// socket has refused bytes and then taken them.
+BOOST_AUTO_TEST_CASE(bytes_above_the_smallest_allowance_have_been_refused_by_the_socket)
+{
+    constexpr std::size_t allowance = gateway::exchange_settings{}.min_answer_bytes;
+    single_caller it{whole_get};
+    BOOST_REQUIRE(it.answers.size() == 1U);
+    const auto answer = it.answers.back();
+    answer->begin(http1::response_head{.status = 200});
+    answer->piece(std::string(allowance + 1, 'x'));
+    BOOST_TEST(answer->unsent() == 0U);
+    answer->end();
+    run_main_loop();
+}
+
+// Guards against a few large requests in flight that appear to use up the memory, so that others
+// are rejected.
+BOOST_AUTO_TEST_CASE(request_in_flight_accounts_for_its_bytes_and_not_for_spare_capacity)
+{
+    constexpr std::size_t length = 140'000; // read in several pieces, so that the body grows
+    const auto budget = std::make_shared<gateway::buffer_budget>(std::size_t{1} << 20U);
+    single_caller it{"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(length) +
+                         "\r\n\r\n",
+                     budget};
+    for (int n = 0; n < 10; ++n) {
+        it.send(std::string(length / 10, 'x'));
+    }
+    BOOST_REQUIRE(it.answers.size() == 1U);
+    BOOST_TEST(budget->used() >= length);
+    BOOST_TEST(budget->used() <= 2 * length + 1'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
