[gateway] Shrink send buffers of callers while memory is short

Callers that did not read large answers could still exceed the memory limit in sum: 480 of them took 117 and 91 MB of 110, 57 and 44 MB of it in the kernel's send buffers, which were limited one by one. Smaller buffers for all cost throughput where segments are large.

kernel_buffers_of_unread_answers_shrink_while_memory_is_short fails without the smaller buffers and passes.

--- a/modules/net/include/hickorypost/net/tcp_stream.h
+++ b/modules/net/include/hickorypost/net/tcp_stream.h
@@ -62,6 +62,10 @@
     tcp_stream(const tcp_stream&) = delete;
     tcp_stream& operator=(const tcp_stream&) = delete;
 
+    /// Bytes that the kernel buffers for sending. It doubles them for its own overhead.
+    static constexpr std::size_t default_send_buffer = std::size_t{64} << 10U;
+    /// Replaces that limit for bytes written from now on.
+    void set_send_buffer(std::size_t bytes) const;
     /// Nothing arrives before the hooks are set. A hook may destroy the stream.
     void set_hooks(hooks to);
     void write(std::string_view bytes);
--- a/modules/net/src/tcp_stream.cpp
+++ b/modules/net/src/tcp_stream.cpp
@@ -25,9 +25,6 @@
 constexpr int accept_backlog = 1024;
 constexpr millis accept_retry_delay{100};
 constexpr int millis_per_second = 1000;
-/// Limits of the kernel's buffers of a connection, which would grow to several megabytes if the
-/// peer does not read, or this process does not. The kernel doubles them for its own overhead.
-constexpr int send_buffer_bytes = 64 << 10;
 constexpr int receive_buffer_bytes = 64 << 10;
 /// Probes without an answer after which a silent connection is dead.
 constexpr int keepalive_probes = 2;
@@ -38,10 +35,12 @@
     (void)setsockopt(fd, level, name, &value, sizeof value);
 }
 
-/// Must precede `connect` and `listen`, as the window is chosen then. Accepted sockets inherit it.
+/// Limits the kernel's buffers, which would grow to several megabytes if the peer does not read, or
+/// this process does not. Must precede `connect` and `listen`, as the window is chosen then.
+/// Accepted sockets inherit the limits.
 void limit_buffers(int fd)
 {
-    set_int(fd, SOL_SOCKET, SO_SNDBUF, send_buffer_bytes);
+    set_int(fd, SOL_SOCKET, SO_SNDBUF, static_cast<int>(tcp_stream::default_send_buffer));
     set_int(fd, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
 }
 
@@ -133,6 +132,11 @@
     set_int(fd_, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+void tcp_stream::set_send_buffer(std::size_t bytes) const
+{
+    set_int(fd_, SOL_SOCKET, SO_SNDBUF, static_cast<int>(bytes));
+}
+
 void tcp_stream::release()
 {
     if (fd_ < 0) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.h"
 
+#include <bit>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -144,9 +145,21 @@
 void caller_connection::account_answer()
 {
     if (stream_->unsent() > max_deferred_bytes) {
+        fit_send_buffer();
         stream_->write_now();
     }
-    answer_share_.set(stream_->unsent() > max_deferred_bytes ? stream_->unsent() : 0);
+    // The kernel's buffer is full as well if the socket has refused bytes.
+    const std::size_t unsent = stream_->unsent();
+    answer_share_.set(unsent > max_deferred_bytes ? unsent + 2 * send_buffer_ : 0);
+}
+
+void caller_connection::fit_send_buffer()
+{
+    const std::size_t bytes = std::bit_floor(server_.options_.answer_buffers->allowance(
+        max_deferred_bytes, net::tcp_stream::default_send_buffer));
+    if (bytes != std::exchange(send_buffer_, bytes)) {
+        stream_->set_send_buffer(bytes);
+    }
 }
 
 void caller_connection::reject_for_memory()
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -69,6 +69,8 @@
     bool account_request();
     /// Writes what must not wait for the end of the turn, and accounts for what the socket refuses.
     void account_answer();
+    /// Lowers the kernel's send buffer while memory is short, and raises it again.
+    void fit_send_buffer();
     /// Rejects a request that is being read because memory is short.
     void reject_for_memory();
     void arm_timer();
@@ -97,6 +99,7 @@
     instant arrived_;
     gateway::buffer_share request_share_;
     gateway::buffer_share answer_share_;
+    std::size_t send_buffer_ = net::tcp_stream::default_send_buffer;
     std::size_t dispatched_bytes_ = 0; ///< memory of the body of the request in flight
     std::string request_;              ///< see `connection_loss::request`
     bool busy_ = false;
--- a/tests/gateway/caller_memory_test.cpp
+++ b/tests/gateway/caller_memory_test.cpp
@@ -133,4 +133,47 @@
     BOOST_TEST(budget->used() <= 2 * length + 1'000);
 }
 
+// Guards against kernel buffers that exceed the memory of a host in sum while callers do not read.
+BOOST_AUTO_TEST_CASE(kernel_buffers_of_unread_answers_shrink_while_memory_is_short)
+{
+    constexpr std::size_t callers = 100;
+    constexpr std::size_t least = gateway::exchange_settings{}.min_answer_bytes;
+    constexpr std::size_t most = gateway::exchange_settings{}.max_unsent_bytes;
+    const auto budget = std::make_shared<gateway::buffer_budget>(std::size_t{1} << 20U);
+    net::poller poller;
+    fake_scheduler timers;
+    std::vector<std::shared_ptr<gateway::caller_port>> answers;
+    const net::endpoint address = unused_address();
+    const auto server =
+        caller_server::open(poller, timers, [&timers] { return timers.now; }, address,
+                            {.limits = [] { return gateway::caller_limits{}; },
+                             .handle =
+                                 [&answers](const incoming_request& request) {
+                                     answers.push_back(request.answer);
+                                     return nullptr;
+                                 },
+                             .answer_buffers = budget});
+    std::vector<int> sockets;
+    for (std::size_t n = 0; n < callers; ++n) {
+        sockets.push_back(send_request(address, "/"));
+        run_main_loop();
+        BOOST_REQUIRE(answers.size() == n + 1);
+        const auto answer = answers.back();
+        answer->begin(http1::response_head{.status = 200});
+        // An exchange reads on until more is unsent than the budget allows.
+        while (answer->unsent() <= budget->allowance(least, most)) {
+            answer->piece(std::string(least, 'x'));
+        }
+    }
+    // Twice the send buffer in the kernel; the piece that exceeds the allowance is held as well.
+    constexpr std::size_t least_of_caller = 2 * least + 2 * least;
+    const auto held = server->buffered();
+    BOOST_TEST(held.kernel_unsent + held.answers <= budget->limit() + callers * least_of_caller);
+    for (const int fd : sockets) {
+        ::close(fd);
+    }
+    answers.clear();
+    run_main_loop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
