[telemetry] Keep Boost.Accumulators out of the metrics header

Every unit that knows the process's metrics parsed Boost.Accumulators and its MPL and Fusion: 314 MB in the compiler for the header alone, 1,121 MB for the largest unit. The accumulators move to the source; the features that nothing read (maximum, mean) go.

--- a/modules/telemetry/include/hickorypost/telemetry/metrics.h
+++ b/modules/telemetry/include/hickorypost/telemetry/metrics.h
@@ -1,15 +1,10 @@
 #pragma once
 
 #include <array>
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -18,10 +13,14 @@
 /// The quantiles that every distribution keeps.
 inline constexpr std::array tracked_quantiles{0.5, 0.95, 0.99};
 
-/// A running distribution: count, sum, mean, maximum and estimated quantiles in constant memory.
+/// A running distribution: count, sum and estimated quantiles in constant memory.
 class distribution {
 public:
     distribution();
+    distribution(distribution&& other) noexcept;
+    distribution& operator=(distribution&& other) noexcept;
+    ~distribution();
+
     void add(double value);
     [[nodiscard]] std::size_t count() const;
     [[nodiscard]] double sum() const;
@@ -29,11 +28,9 @@
     [[nodiscard]] double quantile(std::size_t nth) const;
 
 private:
-    using features =
-        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                                   boost::accumulators::tag::max,
-                                   boost::accumulators::tag::extended_p_square>;
-    boost::accumulators::accumulator_set<double, features> set_;
+    // Defined in the source: Boost.Accumulators takes the compiler hundreds of MB in each unit.
+    struct accumulators;
+    std::unique_ptr<accumulators> accumulators_;
 };
 
 /// Named figures of one process, shown as Prometheus text. Names carry their labels:
--- a/modules/telemetry/src/metrics.cpp
+++ b/modules/telemetry/src/metrics.cpp
@@ -1,6 +1,12 @@
 #include "hickorypost/telemetry/metrics.h"
 
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
 #include <spdlog/fmt/fmt.h>
+#include <utility>
 
 namespace hickorypost::telemetry {
 
@@ -33,26 +39,35 @@
 
 } // namespace
 
-distribution::distribution() : set_{acc::extended_p_square_probabilities = tracked_quantiles} {}
+struct distribution::accumulators {
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>
+        set{acc::extended_p_square_probabilities = tracked_quantiles};
+};
+
+distribution::distribution() : accumulators_{std::make_unique<accumulators>()} {}
+distribution::distribution(distribution&& other) noexcept = default;
+distribution& distribution::operator=(distribution&& other) noexcept = default;
+distribution::~distribution() = default;
 
 void distribution::add(double value)
 {
-    set_(value);
+    accumulators_->set(value);
 }
 
 std::size_t distribution::count() const
 {
-    return acc::count(set_);
+    return acc::count(accumulators_->set);
 }
 
 double distribution::sum() const
 {
-    return acc::sum(set_);
+    return acc::sum(accumulators_->set);
 }
 
 double distribution::quantile(std::size_t nth) const
 {
-    return acc::extended_p_square(set_)[static_cast<std::ptrdiff_t>(nth)];
+    return acc::extended_p_square(accumulators_->set)[static_cast<std::ptrdiff_t>(nth)];
 }
 
 void metrics::count(std::string_view name, double by)
