[build] Limit concurrent compilers by the memory of the machine

Ninja starts as many compilers as there are cores, and two more. The units that need most memory are the roles, which come last in the build: on many cores they run all at once. The users' log fits that. It ends with 70 lines from the first that holds "error" (listen_error.cpp.o), so it shows the 111th step and hides what came after; a model of the build with this machine's times has the same order of steps with 18 to 20 compilers at once. That their build ran out of memory is suspected, not shown.

Compilers now share half of the machine's memory (or of a control group's limit), or what is available if that is less, one GiB for each; the largest unit needs 658 MB.

--- /dev/null
+++ b/cmake/compile_jobs.cmake
@@ -0,0 +1,47 @@
+# hickorypost_compile_jobs(OUT MEMORY_MB...): how many compilers may run at once if the smallest of the
+# given amounts of memory is what they share.
+function(hickorypost_compile_jobs out)
+  set(compiler_mb 1024)
+  set(jobs 0)
+  foreach(memory_mb ${ARGN})
+    math(EXPR fitting "${memory_mb} / ${compiler_mb}")
+    if(fitting LESS 1)
+      set(fitting 1)
+    endif()
+    if(jobs EQUAL 0 OR fitting LESS jobs)
+      set(jobs ${fitting})
+    endif()
+  endforeach()
+  set(${out} ${jobs} PARENT_SCOPE)
+endfunction()
+
+# hickorypost_cgroup_limit_mb(OUT FILE): the memory limit of a control group, which the total of the
+# machine does not show. Empty if there is none.
+function(hickorypost_cgroup_limit_mb out file)
+  set(limit_mb "")
+  if(EXISTS ${file})
+    file(STRINGS ${file} limit LIMIT_COUNT 1)
+    if(limit MATCHES "^[0-9]+$")
+      math(EXPR limit_mb "${limit} / 1048576")
+    endif()
+  endif()
+  set(${out} ${limit_mb} PARENT_SCOPE)
+endfunction()
+
+# Ninja starts as many compilers as the machine has cores, however little memory there is for each.
+# This keeps them within half of the memory, and within what is available now.
+function(hickorypost_limit_compile_jobs)
+  cmake_host_system_information(RESULT total_mb QUERY TOTAL_PHYSICAL_MEMORY)
+  cmake_host_system_information(RESULT available_mb QUERY AVAILABLE_PHYSICAL_MEMORY)
+  hickorypost_cgroup_limit_mb(v1_mb /sys/fs/cgroup/memory/memory.limit_in_bytes)
+  hickorypost_cgroup_limit_mb(v2_mb /sys/fs/cgroup/memory.max)
+  set(shares ${available_mb})
+  foreach(it ${total_mb} ${v1_mb} ${v2_mb})
+    math(EXPR half "${it} / 2")
+    list(APPEND shares ${half})
+  endforeach()
+  hickorypost_compile_jobs(jobs ${shares})
+  message(STATUS "Compilers at once: at most ${jobs}")
+  set_property(GLOBAL APPEND PROPERTY JOB_POOLS compile=${jobs})
+  set(CMAKE_JOB_POOL_COMPILE compile PARENT_SCOPE)
+endfunction()
