--- a/modules/telemetry/src/metrics.cpp
+++ b/modules/telemetry/src/metrics.cpp
@@ -5,7 +5,7 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
-#include <spdlog/fmt/fmt.h>
+#include <fmt/core.h>
 #include <utility>
 
 namespace hickorypost::telemetry {
--- a/src/cli/load_text.cpp
+++ b/src/cli/load_text.cpp
@@ -1,7 +1,7 @@
 #include "cli/load_text.h"
 
+#include <fmt/core.h>
 #include <iterator>
-#include <spdlog/fmt/fmt.h>
 
 namespace hickorypost {
 
--- a/src/report_table.cpp
+++ b/src/report_table.cpp
@@ -1,8 +1,8 @@
 #include "report_table.h"
 
 #include <algorithm>
+#include <fmt/core.h>
 #include <nlohmann/json.hpp>
-#include <spdlog/fmt/fmt.h>
 #include <tuple>
 
 namespace hickorypost {
