[tests] Give servers under test ports that no client or other test program takes

Ports came from binding port 0 and releasing it: they lie in the range from which the kernel numbers the sockets of clients, and the next test program may be given the same ones. A server that is not yet up, or is down for a restart, then finds its address taken and waits for it until the test gives up.

Each test program now claims a block of ports below that range for as long as it runs.

--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -1,15 +1,14 @@
 #include "deployment.h"
 
+#include "port_block.h"
 #include "secret.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <spawn.h>
 #include <sstream>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -51,24 +50,8 @@
 
 std::vector<std::uint16_t> free_ports(std::size_t n)
 {
-    std::vector<int> held;
-    std::vector<std::uint16_t> out;
-    for (std::size_t it = 0; it < n; ++it) {
-        held.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        sockaddr_in where{};
-        where.sin_family = AF_INET;
-        where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof where;
-        auto* raw = reinterpret_cast<sockaddr*>(&where);
-        if (::bind(held.back(), raw, size) != 0 || ::getsockname(held.back(), raw, &size) != 0) {
-            std::abort();
-        }
-        out.push_back(ntohs(where.sin_port));
-    }
-    for (const int fd : held) {
-        ::close(fd);
-    }
-    return out;
+    static port_block block;
+    return block.take(n);
 }
 
 child::child(std::vector<std::string> command, const std::filesystem::path& output)
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -17,7 +17,7 @@
 bool eventually(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::milliseconds{40'000});
 
-/// Finds `n` free ports by binding port 0. Another process may take them before they are used.
+/// Takes `n` ports from the block of this test program (see `port_block`).
 std::vector<std::uint16_t> free_ports(std::size_t n);
 
 /// A child process whose output is redirected to a file.
