--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -348,10 +348,10 @@
         line = stream.readline()
         if not line:
             return False
-        method, path, _ = line.decode().split(" ", 2)
+        method, path, _ = line.decode("latin-1").split(" ", 2)
         fields = {}
         while True:
-            row = stream.readline().decode().rstrip("\r\n")
+            row = stream.readline().decode("latin-1").rstrip("\r\n")
             if not row:
                 break
             name, _, value = row.partition(":")
@@ -454,8 +454,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken, text = body(trouble)
-    except CannotRun as it:
-        print("could not run: %s" % it)
+    except Exception as it:  # a fault of the script isn't one of the system
+        print("could not run: %s: %s" % (type(it).__name__, it))
         sys.exit(COULD_NOT_RUN)
     print(("broken: " if broken else "held: ") + str(text))
     sys.exit(BROKEN if broken else HELD)
