--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
 from deployment import *  # noqa: E402,F403
 
-FREEZE_S = 5.0  # "for_s: how long (5)"
+FREEZE_S = 4.5  # as long as in the site file
 DOWN_S = 1.0
 PER_S = 150
 
@@ -46,38 +46,38 @@
 
 
 def body(trouble):
-    with Site(pathlib.Path(__file__).parent, net=64) as site:
+    with Site(pathlib.Path(__file__).parent, disks=4, others=4, net=64) as site:
         site.start()
-        core, frozen = site.hosts[:3], site.hosts[3]
-        order(site, core, "PUT", "/hickorypost/config", config(1))
+        others, frozen = site.hosts[:-1], site.hosts[-1]
+        order(site, others, "PUT", "/hickorypost/config", config(1))
         site.wait_ready()
         for n in range(2):
             Replica(site, "old-%d" % n, "app")
         time.sleep(3)
         for n in range(2):
             Replica(site, "bad-%d" % n, "app", version="v2", answer=half_bad)
-        traffic = Traffic(site, core, request, PER_S)
+        traffic = Traffic(site, others, request, PER_S)
         time.sleep(2)
 
         # The first order goes to a host that is frozen, and after a second to the next one.
         froze_at = now()
         if trouble:
             frozen.send_signal(signal.SIGSTOP)
-        order(site, [frozen] + core, "POST", "/hickorypost/rollouts", rollout("v2"))
-        while state_of(site, core)["State"] == "running" and now() < froze_at + FREEZE_S - 0.8:
+        order(site, [frozen] + others, "POST", "/hickorypost/rollouts", rollout("v2"))
+        while state_of(site, others)["State"] == "running" and now() < froze_at + FREEZE_S - 0.8:
             time.sleep(0.2)
         for n in range(2):
             Replica(site, "new-%d" % n, "app", version="v3")
-        order(site, core, "POST", "/hickorypost/rollouts", rollout("v3"))
+        order(site, others, "POST", "/hickorypost/rollouts", rollout("v3"))
         time.sleep(max(0.0, froze_at + FREEZE_S - now()))
         if trouble:
             frozen.send_signal(signal.SIGCONT)
         time.sleep(4)
-        before = state_of(site, core)
+        before = state_of(site, others)
         traffic.stop()
 
         # The final fault: all processes are killed right after an acknowledgement.
-        order(site, core, "PUT", "/hickorypost/config", config(2))
+        order(site, others, "PUT", "/hickorypost/config", config(2))
         if trouble:
             for it in site.hosts:
                 it.kill()
@@ -85,7 +85,7 @@
             for it in site.hosts:
                 it.start()
             site.wait_ready()
-        after = state_of(site, core)
+        after = state_of(site, others)
         site.record.add("last acknowledged roll-out: v3; before the final fault %s, after it %s" %
                         (before, after))
         return after["Target"] != "v3", ("the roll-out to v3 was acknowledged last; read back: %s" %
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "common-2"))
 from deployment import *  # noqa: E402,F403
 
-FREEZE_S = 5.0  # "for_s: how long (5)"
+FREEZE_S = 4.5
 EVACUATE_S = BOUNDS["EvacuateMs"] / 1000
 EVACUATED = "zone-2"
 
@@ -27,17 +27,17 @@
 
 
 def body(trouble):
-    with Site(pathlib.Path(__file__).parent, net=65) as site:
+    with Site(pathlib.Path(__file__).parent, disks=3, others=4, net=65) as site:
         site.start()
-        core, frozen = site.hosts[:3], site.hosts[3]
+        others, frozen = site.hosts[:-1], site.hosts[-1]
         path = "/hickorypost/evacuations/" + EVACUATED
-        order(site, core, "PUT", "/hickorypost/config", config())
+        order(site, others, "PUT", "/hickorypost/config", config())
         site.wait_ready()
         for n in range(4):
             Replica(site, "i-%d" % n, "app", zone="zone-%d" % (n % 2 + 1))
         time.sleep(4)
-        traffic = Traffic(site, core, request, 30)
-        order(site, core, "POST", path)
+        traffic = Traffic(site, others, request, 30)
+        order(site, others, "POST", path)
         time.sleep(2)
 
         # The zone is taken back. The first order goes to a host that is frozen, and after a second
@@ -45,9 +45,9 @@
         froze_at = now()
         if trouble:
             frozen.send_signal(signal.SIGSTOP)
-        order(site, [frozen] + core, "DELETE", path)
+        order(site, [frozen] + others, "DELETE", path)
         time.sleep(1.5)
-        order(site, core, "POST", path)
+        order(site, others, "POST", path)
         acknowledged = now()
         time.sleep(max(0.0, froze_at + FREEZE_S - now()))
         if trouble:
@@ -55,10 +55,10 @@
         time.sleep(max(0.0, acknowledged + EVACUATE_S + 6 - now()))
         traffic.stop()
 
-        taken_from_core = {it[2] for it in traffic.answers}
+        taken_by_others = {it[2] for it in traffic.answers}
         late = [run for it in site.replicas if it.zone == EVACUATED for run in it.runs
-                if run[0] > acknowledged + EVACUATE_S and run[1] in taken_from_core]
-        zones = order(site, core, "GET", "/hickorypost/evacuations")[1].decode()
+                if run[0] > acknowledged + EVACUATE_S and run[1] in taken_by_others]
+        zones = order(site, others, "GET", "/hickorypost/evacuations")[1].decode()
         site.record.add("evacuation acknowledged at %.3f and not taken back; requests that reached "
                         "the zone later than EvacuateMs after: %d; evacuations as listed: %s" %
                         (acknowledged, len(late), zones))
