--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -143,7 +143,6 @@
                   "FaultTolerance": {"Machines": 1}, "HeartbeatMs": int(HEARTBEAT_S * 1000),
                   "Bounds": BOUNDS, "Limits": {"MemoryMb": 260}}
         text = render((TOP / "deploy/gateway.ini.template").read_text(), fields)
-        text = re.sub(r"(?m)^metrics = .*\n", "", text)  # its port may be taken on this machine
         path = self.site.folder / (self.name + ".conf")
         path.write_text(text)
         return path
