[gateway] A roll-out order that its operator has given up has no effect

Callers saw: a host was suspended for 4.5 s. The roll-out order that waited in its socket had long been sent again to another host, rolled back and replaced by a later one.

Cause: `begin_rollout` committed whatever it read. Nothing asked whether the operator still waited, and the control log took each order with another target for a new one.

Change: a host reads the newest state after it has read the order, then makes sure that the operator still waits: it writes the next byte of the status line, which a closed connection answers with a reset and any other with an acknowledgement. Only then it commits the order, with the revision of that state. The control log refuses the order if a later one for the service came in between, so that a copy that is delayed between hosts has no effect either. Orders that were applied are acknowledged again. Replicas of earlier releases ignore the revision; it is sent only if all linked core hosts check it.

--- a/modules/gateway/include/hickorypost/gateway/control_state.h
+++ b/modules/gateway/include/hickorypost/gateway/control_state.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,8 @@
     /// The target of the last completed roll-out; before that, the version recorded by
     /// `set_incumbent`. Empty if neither exists.
     std::string incumbent;
+    /// Revision of the state that the last effective `begin_rollout` led to; 0 if there is none.
+    std::uint64_t ordered_at = 0;
 };
 
 /// Replicated state of a site: the operators' configuration, roll-outs and versions. The encoding
@@ -41,6 +44,8 @@
     std::uint64_t revision = 0;                       ///< incremented with each change
     std::map<std::string, service_versions> versions; ///< by service
     std::vector<std::string> evacuated_domains;       ///< sorted; see `begin_evacuation`
+    /// Revision of the state that the last change of `evacuated_domains` led to.
+    std::uint64_t evacuations_ordered_at = 0;
 };
 
 enum class control_kind : std::uint8_t {
@@ -66,14 +71,24 @@
     rollout_status rollout;
     initial_version incumbent;
     std::string failure_domain; ///< of an evacuation
+    /// For `begin_rollout`, `begin_evacuation` and `end_evacuation`: the command has no effect if
+    /// its object was changed by a later order than this revision of the state contains. Unset by
+    /// releases that do not check.
+    std::optional<std::uint64_t> known_revision;
 };
 
+/// Results of `control_state::apply`.
+inline constexpr std::string_view result_ok = "ok";
+inline constexpr std::string_view result_superseded = "superseded";
+inline constexpr std::string_view result_unreadable = "unreadable";
+
 /// State machine of the control log. The highest configuration version wins whatever the order of
 /// arrival, because operators may submit equal versions concurrently and old changes arrive late.
 class control_state final : public replog::state_machine {
 public:
-    /// Returns "ok", also for a change that came too late and has no effect, or "unreadable" if the
-    /// command cannot be decoded.
+    /// Returns `result_superseded` for a change that `known_revision` excludes, `result_unreadable`
+    /// if the command cannot be decoded, and otherwise `result_ok`, also for a change that has no
+    /// effect because it has been made before or came too late.
     std::string apply(const replog::entry& command) override;
     /// `query`: an encoded `wire::site_query`. Returns the encoded `site_state`, or an empty string
     /// if the caller's revision is current. A query that cannot be decoded gets the state.
@@ -86,6 +101,11 @@
 private:
     bool put_config(control_command& command);
     bool begin_rollout(const rollout_status& status);
+    /// Whether an order that the sender of `command` did not know of has changed the same object.
+    [[nodiscard]] bool is_superseded(const control_command& command) const;
+    /// Whether the state is already as the order asks, as after a retry of a command whose
+    /// acknowledgement was lost.
+    [[nodiscard]] bool is_fulfilled(const control_command& command) const;
     bool step_rollout(const rollout_status& step);
     bool set_incumbent(const initial_version& initial);
     bool begin_evacuation(const std::string& domain);
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -142,6 +142,12 @@
     [[nodiscard]] virtual std::size_t unsent() const = 0;
     /// Whether the connection has ended, so that no answer can be delivered.
     [[nodiscard]] virtual bool is_closed() const = 0;
+    /// Finds out whether the caller has kept its connection open until after this call. `done` is
+    /// called once, and not from within this function: with false if the caller has closed the
+    /// connection, or if that is not known after `limit`. Dropped if this host closes the
+    /// connection. Not to be called again before `done`, nor after the answer has begun. A request
+    /// can be confirmed up to eight times.
+    virtual void confirm_waiting(millis limit, std::function<void(bool waits)> done) = 0;
 };
 
 namespace detail {
--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -21,7 +21,14 @@
 {
     auto decoded = wire::try_decode<control_command>(command.data);
     if (!decoded) {
-        return "unreadable"; // written by a later release; all hosts skip the entry alike
+        return std::string{
+            result_unreadable}; // written by a later release; all hosts skip the entry alike
+    }
+    if (is_fulfilled(*decoded)) {
+        return std::string{result_ok};
+    }
+    if (is_superseded(*decoded)) {
+        return std::string{result_superseded};
     }
     bool changed = false;
     switch (decoded->kind) {
@@ -47,7 +54,42 @@
     if (changed) {
         ++state_.revision;
     }
-    return "ok";
+    return std::string{result_ok};
+}
+
+bool control_state::is_fulfilled(const control_command& command) const
+{
+    const auto& domains = state_.evacuated_domains;
+    switch (command.kind) {
+    case control_kind::begin_rollout: {
+        const auto known = state_.rollouts.find(command.rollout.service);
+        return known != state_.rollouts.end() && known->second.target == command.rollout.target;
+    }
+    case control_kind::begin_evacuation:
+        return std::binary_search(domains.begin(), domains.end(), command.failure_domain);
+    case control_kind::end_evacuation:
+        return !std::binary_search(domains.begin(), domains.end(), command.failure_domain);
+    default:
+        return false;
+    }
+}
+
+bool control_state::is_superseded(const control_command& command) const
+{
+    if (!command.known_revision) {
+        return false;
+    }
+    switch (command.kind) {
+    case control_kind::begin_rollout: {
+        const auto known = state_.versions.find(command.rollout.service);
+        return known != state_.versions.end() && known->second.ordered_at > *command.known_revision;
+    }
+    case control_kind::begin_evacuation:
+    case control_kind::end_evacuation:
+        return state_.evacuations_ordered_at > *command.known_revision;
+    default:
+        return false;
+    }
 }
 
 bool control_state::put_config(control_command& command)
@@ -63,14 +105,12 @@
 bool control_state::begin_rollout(const rollout_status& status)
 {
     const auto known = state_.rollouts.find(status.service);
-    // A retry of a command whose acknowledgement was lost.
-    if (known != state_.rollouts.end() && known->second.target == status.target) {
-        return false;
-    }
     if (known != state_.rollouts.end() && known->second.phase == rollout_phase::running) {
         add_rolled_back(known->second);
     }
-    std::erase(state_.versions[status.service].rolled_back_versions, status.target);
+    auto& versions = state_.versions[status.service];
+    std::erase(versions.rolled_back_versions, status.target);
+    versions.ordered_at = state_.revision + 1;
     state_.rollouts[status.service] = status;
     return true;
 }
@@ -120,17 +160,16 @@
 bool control_state::begin_evacuation(const std::string& domain)
 {
     auto& domains = state_.evacuated_domains;
-    const auto at = std::lower_bound(domains.begin(), domains.end(), domain);
-    if (at != domains.end() && *at == domain) {
-        return false; // a retry of a command whose acknowledgement was lost
-    }
-    domains.insert(at, domain);
+    domains.insert(std::lower_bound(domains.begin(), domains.end(), domain), domain);
+    state_.evacuations_ordered_at = state_.revision + 1;
     return true;
 }
 
 bool control_state::end_evacuation(const std::string& domain)
 {
-    return std::erase(state_.evacuated_domains, domain) > 0;
+    std::erase(state_.evacuated_domains, domain);
+    state_.evacuations_ordered_at = state_.revision + 1;
+    return true;
 }
 
 std::string control_state::read(std::string_view query) const
--- a/modules/gateway/tests/fakes.h
+++ b/modules/gateway/tests/fakes.h
@@ -112,6 +112,7 @@
     void break_off() override { broken = true; }
     [[nodiscard]] std::size_t unsent() const override { return unsent_bytes; }
     [[nodiscard]] bool is_closed() const override { return false; }
+    void confirm_waiting(millis, std::function<void(bool)> done) override { done(true); }
 
     unsigned status = 0;
     std::string body;
--- a/modules/wire/include/hickorypost/wire/messages.h
+++ b/modules/wire/include/hickorypost/wire/messages.h
@@ -94,6 +94,7 @@
     done,
     not_leader,  ///< retry at `leader`, or at another host if `leader` is empty
     unavailable, ///< no quorum; the command may or may not be committed
+    superseded,  ///< the command has no effect, as a later order has changed the same object
 };
 
 /// Asks a control host to commit a command to the log of a group.
@@ -368,6 +369,9 @@
     bool applies_evacuations = false;
     /// Whether the sender handles `account_usage`. Releases before it log a warning for each one.
     bool takes_account_usage = false;
+    /// Whether the sender's replica checks `gateway::control_command::known_revision`. Releases
+    /// before it apply such commands in any case.
+    bool checks_known_revision = false;
 };
 
 /// A host without a disk subscribes to updates from the receiver (`on`) or unsubscribes.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+/// All response heads begin with this.
+constexpr std::string_view response_prefix = "HTTP/1.1 ";
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_body_too_large = 413;
@@ -42,6 +44,8 @@
 constexpr millis memory_retry_after{500};
 /// A request in flight is kept for its retries, and a copy of it may be unsent.
 constexpr std::size_t copies_in_flight = 2;
+/// Interval between two looks at whether the caller's system has acknowledged what was sent.
+constexpr millis confirmation_poll{2};
 /// Time that a caller has to close its side after the last answer.
 constexpr millis linger_timeout{2'000};
 
@@ -70,6 +74,7 @@
 caller_connection::~caller_connection()
 {
     timers_.cancel(timer_);
+    timers_.cancel(confirmation_timer_);
     poller_.forget(*this);
 }
 
@@ -333,7 +338,8 @@
     if (!keep_alive_) {
         head.fields.add("Connection", "close");
     }
-    std::string out = http1::write_response_head(head);
+    std::string out =
+        http1::write_response_head(head).substr(std::exchange(head_bytes_written_, 0));
     if (!bodyless_ && !has_no_body(head.status)) {
         out.append(body);
     }
@@ -355,7 +361,7 @@
     if (!keep_alive_) {
         head.fields.add("Connection", "close");
     }
-    stream_->write(http1::write_response_head(head));
+    stream_->write(http1::write_response_head(head).substr(std::exchange(head_bytes_written_, 0)));
 }
 
 void caller_connection::piece(std::string_view bytes)
@@ -547,7 +553,7 @@
     if (!busy_) {
         keep_alive_ = false;
         on_answer_complete();
-    } else if (!answer_begun_ && is_http_1_1_) {
+    } else if (!answer_begun_ && head_bytes_written_ == 0 && is_http_1_1_) {
         // A caller that has closed its connection resets it when bytes arrive, so that its request
         // is cancelled. Any other caller ignores an interim response.
         stream_->write(continue_response);
@@ -555,6 +561,44 @@
     return true;
 }
 
+void caller_connection::confirm_waiting(millis limit, std::function<void(bool waits)> done)
+{
+    confirmation_done_ = std::move(done);
+    if (closed_ || head_bytes_written_ == response_prefix.size()) {
+        confirmation_timer_ = timers_.add(instant{}, [this] { end_confirmation(false); });
+        return;
+    }
+    // A caller that has closed its connection resets it when bytes arrive, and any other caller's
+    // system acknowledges them. The end of its input does not tell the two apart, and may still be
+    // on its way.
+    stream_->write(response_prefix.substr(head_bytes_written_++, 1));
+    const instant due = server_.now_() + limit;
+    confirmation_timer_ = timers_.add(server_.now_(), [this, due] { poll_confirmation(due); });
+}
+
+void caller_connection::poll_confirmation(instant due)
+{
+    confirmation_timer_ = 0;
+    const instant now = server_.now_();
+    if (stream_->unsent() == 0 && stream_->in_kernel().unsent == 0) {
+        end_confirmation(true);
+    } else if (now >= due) {
+        end_confirmation(false);
+    } else {
+        confirmation_timer_ =
+            timers_.add(now + confirmation_poll, [this, due] { poll_confirmation(due); });
+    }
+}
+
+void caller_connection::end_confirmation(bool waits)
+{
+    const auto keep = shared_from_this();
+    timers_.cancel(std::exchange(confirmation_timer_, 0));
+    if (const auto done = std::exchange(confirmation_done_, nullptr)) {
+        done(waits);
+    }
+}
+
 void caller_connection::on_ended(net::stream_end how)
 {
     const auto keep = shared_from_this();
@@ -567,6 +611,7 @@
         exchange_.reset();
     }
     server_.remove(this);
+    end_confirmation(false);
 }
 
 void caller_connection::close()
@@ -579,6 +624,8 @@
     closed_ = true;
     exchange_.reset();
     timers_.cancel(std::exchange(timer_, 0));
+    timers_.cancel(std::exchange(confirmation_timer_, 0));
+    confirmation_done_ = nullptr;
     if (resets_) {
         stream_->reset();
     } else {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -63,6 +63,7 @@
     /// Adds the bytes that are held for the connection.
     void add_to(buffered_bytes& sum) const;
     [[nodiscard]] bool is_closed() const override { return closed_; }
+    void confirm_waiting(millis limit, std::function<void(bool waits)> done) override;
 
     void ready(std::uint32_t) override {}
     /// Runs at the end of the main loop iteration in which an answer was completed; only then the
@@ -105,6 +106,9 @@
     /// The caller sends nothing more. It may still read the answers to its requests, or it may have
     /// closed the connection. Returns whether an answer is still to be sent.
     bool on_input_ended();
+    /// Continues `confirm_waiting`, which gives up at `due`.
+    void poll_confirmation(instant due);
+    void end_confirmation(bool waits);
     /// The caller has closed the connection or it has failed.
     void on_ended(net::stream_end how);
 
@@ -115,6 +119,8 @@
     http1::request_parser parser_;
     std::unique_ptr<gateway::exchange> exchange_;
     std::uint64_t timer_ = 0;
+    std::uint64_t confirmation_timer_ = 0;
+    std::function<void(bool waits)> confirmation_done_; ///< set during `confirm_waiting`
     instant arrived_;
     instant waits_since_;
     gateway::buffer_share request_share_;
@@ -125,6 +131,7 @@
     bool sends_large_answer_ = false;    ///< until the caller has received it
     std::size_t dispatched_bytes_ = 0;   ///< memory of the request in flight, without its head
     std::string request_;                ///< see `connection_loss::request`
+    std::size_t head_bytes_written_ = 0; ///< of the answer, by `confirm_waiting`
     bool busy_ = false;
     bool held_ = false;
     bool keep_alive_ = true;
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -15,6 +15,10 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_not_allowed = 405;
 constexpr unsigned status_unavailable = 503;
+/// Less than the second that an operator waits for a response.
+constexpr millis confirm_limit{900};
+/// Attempts to commit an order while others change the same object.
+constexpr unsigned max_commit_attempts = 8;
 /// Minimum time between two log lines about refused records.
 constexpr millis refusal_log_period{1000};
 
@@ -177,23 +181,63 @@
     });
 }
 
-void control_calls::commit(const gateway::control_command& command, std::string subject,
-                           std::shared_ptr<gateway::caller_port> caller)
+void control_calls::commit(operator_order order)
 {
-    control_.commit(command, [this, subject = std::move(subject), caller = std::move(caller)](
-                                 control_plane::order_status status, const gateway::site_state*) {
+    const auto command = order.command;
+    control_.commit(command, [this, order = std::move(order)](control_plane::order_status status,
+                                                              const gateway::site_state*) mutable {
+        if (status == control_plane::order_status::superseded &&
+            order.attempts < max_commit_attempts) {
+            env_.log->info("{}: another order came first, trying again", order.subject);
+            commit_if_awaited(std::move(order));
+            return;
+        }
         const bool acknowledged = status == control_plane::order_status::done;
-        env_.log->info("{} {}", subject,
+        env_.log->info("{} {}", order.subject,
                        acknowledged ? "acknowledged"
                                     : "not acknowledged by a leader: it may still take effect");
         if (acknowledged) {
-            respond_json(*caller, status_ok, "{}");
+            respond_json(*order.caller, status_ok, "{}");
         } else {
-            respond_error(*caller, status_unavailable, "no leader has acknowledged the command");
+            respond_error(*order.caller, status_unavailable,
+                          "no leader has acknowledged the command");
         }
     });
 }
 
+void control_calls::commit_if_awaited(operator_order order)
+{
+    ++order.attempts;
+    // The order may have waited in the socket while this host was suspended, and the operator may
+    // have sent it, and later ones, to other hosts since. An operator that still waits after the
+    // newest state has been read has sent none that this state lacks, and the control log drops the
+    // command if another order for the same object comes before it.
+    control_.read_newest(
+        [this, order = std::move(order)](control_plane::order_status status,
+                                         const gateway::site_state* state) mutable {
+            if (status != control_plane::order_status::done || state == nullptr) {
+                constexpr std::string_view reason = "no leader has confirmed the newest state";
+                env_.log->info("{} not carried out: {}", order.subject, reason);
+                respond_error(*order.caller, status_unavailable, reason);
+                return;
+            }
+            if (control_.replicas_check_known_revision()) {
+                order.command.known_revision = state->revision;
+            }
+            const auto caller = order.caller;
+            caller->confirm_waiting(
+                confirm_limit, [this, order = std::move(order)](bool waits) mutable {
+                    if (waits) {
+                        commit(std::move(order));
+                        return;
+                    }
+                    env_.log->info("{} dropped: the operator has left", order.subject);
+                    respond_error(*order.caller, status_unavailable,
+                                  "the connection does not acknowledge what is sent");
+                });
+        });
+}
+
 void control_calls::put_config(incoming_request request)
 {
     decode_or_refuse(env_, request, "configuration", [&]() -> result<void> {
@@ -208,7 +252,8 @@
         command.kind = gateway::control_kind::put_config;
         command.config_version = config.version;
         command.config_packed = pack(request.body);
-        commit(command, "configuration " + std::to_string(config.version), request.answer);
+        commit({std::move(command), "configuration " + std::to_string(config.version),
+                request.answer});
         return {};
     });
 }
@@ -237,7 +282,8 @@
         gateway::control_command command;
         command.kind = gateway::control_kind::begin_rollout;
         command.rollout = order;
-        commit(command, "roll-out of " + order.service + " to " + order.target, request.answer);
+        commit_if_awaited({std::move(command),
+                           "roll-out of " + order.service + " to " + order.target, request.answer});
         return {};
     });
 }
@@ -303,7 +349,7 @@
                       gateway::control_command command;
                       command.kind = kind;
                       command.failure_domain = domain;
-                      commit(command, subject, caller);
+                      commit({std::move(command), subject, caller});
                   });
         return {};
     });
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -39,9 +39,17 @@
     /// Counts and logs a refused record and responds with status 400.
     void refuse_record(const std::string& name, const incoming_request& request,
                        std::string_view reason);
-    /// Commits the command, then logs the outcome for `subject` and responds.
-    void commit(const gateway::control_command& command, std::string subject,
-                std::shared_ptr<gateway::caller_port> caller);
+    /// A command of an operator on its way to the control log.
+    struct operator_order {
+        gateway::control_command command;
+        std::string subject; ///< for the log
+        std::shared_ptr<gateway::caller_port> caller;
+        unsigned attempts = 0;
+    };
+    /// Commits the command, then logs the outcome and responds.
+    void commit(operator_order order);
+    /// Commits a roll-out or an evacuation, unless the operator no longer waits for the response.
+    void commit_if_awaited(operator_order order);
     void put_config(incoming_request request);
     void get_config(const incoming_request& request);
     void begin_rollout(const incoming_request& request);
--- a/src/gateway/control_orders.cpp
+++ b/src/gateway/control_orders.cpp
@@ -10,6 +10,19 @@
 
 namespace hickorypost {
 
+namespace {
+
+wire::reply_status status_of(const replog::group_answer& answer)
+{
+    if (answer.status != replog::group_status::done) {
+        return wire::reply_status::unavailable;
+    }
+    return answer.result == gateway::result_superseded ? wire::reply_status::superseded
+                                                       : wire::reply_status::done;
+}
+
+} // namespace
+
 void control_plane::sync_state()
 {
     sync_pending_ = true;
@@ -60,11 +73,7 @@
         order.progress.sent_to(mesh_.self(), now_());
         execute(order.message.kind, order.message.command,
                 [this, id = order.message.id](const replog::group_answer& answer) {
-                    handle_reply({id,
-                                  answer.status == replog::group_status::done
-                                      ? wire::reply_status::done
-                                      : wire::reply_status::unavailable,
-                                  answer.leader, answer.result});
+                    handle_reply({id, status_of(answer), answer.leader, answer.result});
                 });
         return;
     }
@@ -116,10 +125,7 @@
     const bool wants_state = msg.kind == wire::order_kind::read;
     execute(msg.kind, msg.command,
             [this, from, id = msg.id, wants_state](const replog::group_answer& answer) {
-                const auto status = answer.status == replog::group_status::done
-                                        ? wire::reply_status::done
-                                        : wire::reply_status::unavailable;
-                mesh_.send(from, wire::order_reply{id, status, answer.leader,
+                mesh_.send(from, wire::order_reply{id, status_of(answer), answer.leader,
                                                    wants_state ? answer.result : std::string{}});
             });
 }
@@ -130,7 +136,7 @@
     if (found == orders_.end()) {
         return;
     }
-    if (msg.status != wire::reply_status::done) {
+    if (msg.status != wire::reply_status::done && msg.status != wire::reply_status::superseded) {
         if (msg.status == wire::reply_status::not_leader && !msg.leader.empty() && !group_) {
             leader_ = msg.leader;
         }
@@ -140,7 +146,9 @@
     auto order = std::move(found->second);
     orders_.erase(found);
     if (order.message.kind == wire::order_kind::command) {
-        order.done(order_status::done, nullptr);
+        order.done(msg.status == wire::reply_status::done ? order_status::done
+                                                          : order_status::superseded,
+                   nullptr);
         return;
     }
     if (msg.state.empty()) {
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -197,6 +197,12 @@
                        [](const auto& it) { return it.second.applies_evacuations; });
 }
 
+bool control_plane::replicas_check_known_revision() const
+{
+    return std::all_of(notes_.begin(), notes_.end(),
+                       [](const auto& it) { return it.second.checks_known_revision; });
+}
+
 node_id control_plane::permit_coordinator() const
 {
     return leader_ == mesh_.self() && !connected() ? node_id{} : leader_;
@@ -340,6 +346,7 @@
     out.hosts = static_cast<std::uint32_t>(mesh_.linked().size() + 1);
     out.applies_evacuations = true;
     out.takes_account_usage = true;
+    out.checks_known_revision = true;
     return out;
 }
 
--- a/src/gateway/control_plane.h
+++ b/src/gateway/control_plane.h
@@ -30,8 +30,11 @@
 /// keep the newest state they have received.
 class control_plane {
 public:
-    /// `unavailable`: no leader has confirmed the order in time. A command may still take effect.
-    enum class order_status : std::uint8_t { done, unavailable };
+    enum class order_status : std::uint8_t {
+        done,
+        unavailable, ///< no leader has confirmed it in time; a command may still take effect
+        superseded,  ///< the command's `known_revision` is too low; this copy has no effect
+    };
     /// `state` is set only for a read that is done.
     using order_fn = std::function<void(order_status, const gateway::site_state* state)>;
 
@@ -69,6 +72,8 @@
     [[nodiscard]] std::size_t host_count() const noexcept;
     /// Whether all linked core hosts apply evacuations.
     [[nodiscard]] bool replicas_support_evacuations() const;
+    /// Whether all linked core hosts check `gateway::control_command::known_revision`.
+    [[nodiscard]] bool replicas_check_known_revision() const;
     /// Whether the last note of a core host named a leader.
     [[nodiscard]] bool reaches_leader(const node_id& host) const;
     /// Whether a core host handles reports of accounts' usage.
--- a/tests/gateway/caller_server_test.cpp
+++ b/tests/gateway/caller_server_test.cpp
@@ -146,6 +146,50 @@
     }
 }
 
+// Guards against carrying out an order for a caller that has closed its connection in good order,
+// which looks like the end of its input.
+BOOST_AUTO_TEST_CASE(caller_that_has_closed_its_connection_is_not_confirmed)
+{
+    for (const bool ends_input_first : {false, true}) {
+        single_caller it{whole_get};
+        if (ends_input_first) {
+            it.end_input();
+        }
+        it.close();
+        BOOST_TEST(!it.confirm_last());
+        BOOST_TEST(it.connections() == 0U);
+    }
+}
+
+// Guards against an order that is dropped although its caller waits, and against an answer that is
+// not whole after the check.
+BOOST_AUTO_TEST_CASE(caller_that_waits_is_confirmed_and_gets_a_whole_answer)
+{
+    for (const bool ends_input : {false, true}) {
+        for (const std::size_t checks : {1U, 8U}) {
+            single_caller it{std::string{whole_get} + std::string{whole_get}};
+            if (ends_input) {
+                it.end_input();
+            }
+            for (std::size_t n = 0; n < checks; ++n) {
+                BOOST_TEST(it.confirm_last());
+            }
+            it.respond("first");
+            BOOST_REQUIRE(it.answers.size() == 2U);
+            it.respond("second");
+            it.end_input();
+            BOOST_TEST(it.read_to_end());
+            std::string_view text = it.received;
+            while (text.starts_with(interim)) {
+                text.remove_prefix(interim.size());
+            }
+            BOOST_TEST(text.starts_with("HTTP/1.1 200 OK\r\n"));
+            BOOST_TEST(text.find("firstHTTP/1.1 200 OK\r\n") != std::string_view::npos);
+            BOOST_TEST(text.ends_with("second"));
+        }
+    }
+}
+
 // Guards against a stream that is resumed on another backend server for a caller that has left it.
 BOOST_AUTO_TEST_CASE(caller_that_ends_its_input_inside_a_streamed_answer_is_taken_for_gone)
 {
--- a/tests/gateway/single_caller.h
+++ b/tests/gateway/single_caller.h
@@ -6,9 +6,12 @@
 #include "loopback_listener.h"
 
 #include <array>
+#include <boost/test/unit_test.hpp>
 #include <fcntl.h>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 namespace hickorypost::testing {
@@ -123,6 +126,22 @@
         return false;
     }
     [[nodiscard]] std::size_t connections() const { return server_->connections(); }
+    /// Returns what `confirm_waiting` of the last request finds.
+    bool confirm_last()
+    {
+        constexpr millis limit{900};
+        constexpr millis step{1};
+        std::optional<bool> out;
+        answers.back()->confirm_waiting(limit, [&out](bool waits) { out = waits; });
+        for (millis waited{0}; !out && waited < 2 * limit; waited += step) {
+            run_main_loop();
+            // The caller's system may delay its acknowledgement.
+            std::this_thread::sleep_for(step);
+            timers_.run_for(step);
+        }
+        BOOST_REQUIRE(out.has_value());
+        return *out;
+    }
 
     std::vector<std::shared_ptr<gateway::caller_port>> answers; ///< of the requests, in order
     std::string received;
