[gateway] An evacuation order that its operator has given up has no effect

Callers saw: a host was suspended for 4.5 s with a withdrawal of an evacuation in its socket. The operator withdrew it through another host and evacuated the domain again.

Cause: the check whether the operator had left looked one main loop iteration after the order was read. An operator that has closed its connection in good order looks like one that has ended its input until it resets what is sent to it, and that reset came an iteration too late. A check that waits longer would still race with orders that are delayed on their way to the leader.

Change: evacuations take the path of roll-outs: newest state, confirmation that the operator waits, commit with the revision, which the control log checks.

The late_order test failed for evacuations with the program of (closed, whole) and passes now.

--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -1,7 +1,6 @@
 #include "gateway/control_calls.h"
 
 #include "hickorypost/base/packing.h"
-#include "hickorypost/net/timer.h"
 #include "hickorypost/platform/calls.h"
 #include "hickorypost/platform/control_codec.h"
 #include "hickorypost/telemetry/event_line.h"
@@ -336,21 +335,11 @@
             env_.log->warn("evacuation of {}: no known backend server is in this failure domain",
                            domain);
         }
-        // The call may have waited in the socket while this host was suspended, and the operator
-        // may have sent it, and a later one, to another host since. Its connection is closed then,
-        // which shows in the next iteration of the main loop.
-        net::post(g_main_context_default(),
-                  [this, kind, subject = "evacuation of " + domain + ": " + std::string{change},
-                   domain, caller = request.answer] {
-                      if (caller->is_closed()) {
-                          env_.log->info("{} dropped: the operator has left", subject);
-                          return;
-                      }
-                      gateway::control_command command;
-                      command.kind = kind;
-                      command.failure_domain = domain;
-                      commit({std::move(command), subject, caller});
-                  });
+        gateway::control_command command;
+        command.kind = kind;
+        command.failure_domain = domain;
+        commit_if_awaited({std::move(command),
+                           "evacuation of " + domain + ": " + std::string{change}, request.answer});
         return {};
     });
 }
