[gateway] An order to clear a suspect that its operator has given up clears nothing

Same cause as for evacuations, found on the related paths: an order that waited at a suspended host was carried out when the host resumed. The suspect may have been found since by further crashes.

--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -356,12 +356,20 @@
         respond_error(*request.answer, status_bad_request, "identity: expected 32 hex digits");
         return;
     }
-    if (!crash_ledger_.clear(*parsed)) {
-        respond_error(*request.answer, status_not_found, "no such suspect");
-        return;
-    }
-    env_.log->info("suspect {} cleared by an operator", identity);
-    respond_json(*request.answer, status_ok, "{}");
+    // As for roll-outs: an order that is read late must not clear a suspect that was found since.
+    request.answer->confirm_waiting(confirm_limit, [this, parsed, identity,
+                                                    caller = request.answer](bool waits) {
+        if (!waits) {
+            env_.log->info("order to clear suspect {} dropped: the operator has left", identity);
+            respond_error(*caller, status_unavailable,
+                          "the connection does not acknowledge what is sent");
+        } else if (!crash_ledger_.clear(*parsed)) {
+            respond_error(*caller, status_not_found, "no such suspect");
+        } else {
+            env_.log->info("suspect {} cleared by an operator", identity);
+            respond_json(*caller, status_ok, "{}");
+        }
+    });
 }
 
 } // namespace hickorypost
