[http1] A response whose status is outside 100 to 599 is malformed

Callers saw, here: with 000, 001 and 099 nothing until the deadline, then 504; with 600 and 999 that status and its body.

Cause: the parser took any three digits. A status below 200 counted as interim, so that the final response behind it was awaited; one above 599 passed for a failure of the backend server.

Change: such a response is malformed (RFC 9110, section 15). The attempt fails at once, and the caller gets 502 or a retry's answer.

--- a/modules/http1/src/parser.cpp
+++ b/modules/http1/src/parser.cpp
@@ -49,8 +49,14 @@
         request.target = plain(target);
         request.is_http_1_1 = version >= http_1_1;
     }
-    void on_response_impl(int status, view reason, int, error_code&) override
+    void on_response_impl(int status, view reason, int, error_code& ec) override
     {
+        // RFC 9110, 15: any other status is invalid.
+        constexpr int first_status = 100;
+        constexpr int last_status = 599;
+        if (status < first_status || status > last_status) {
+            ec = http::error::bad_status;
+        }
         response.status = static_cast<unsigned>(status);
         response.reason = plain(reason);
     }
--- a/modules/http1/tests/parser_test.cpp
+++ b/modules/http1/tests/parser_test.cpp
@@ -223,6 +223,25 @@
     BOOST_TEST((it.fault() == parse_fault::malformed));
 }
 
+// Guards against waiting for a final response behind one whose status is invalid, and against
+// passing that status on.
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_status_is_malformed)
+{
+    for (const std::string_view status : {"000", "001", "099", "600", "999", "1000", "20", "2000",
+                                          "-20", "+200", "2x0", "0200", ""}) {
+        response_parser it;
+        it.begin(false);
+        it.push("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 0\r\n\r\n");
+        BOOST_TEST((it.fault() == parse_fault::malformed), status);
+    }
+    for (const std::string_view status : {"200", "299", "404", "599"}) {
+        response_parser it;
+        it.begin(false);
+        it.push("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 0\r\n\r\n");
+        BOOST_TEST(it.done(), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hop_by_hop_fields_are_removed)
 {
     field_list it;
