[gateway] An answer without an id is not taken for the next request's on its connection

Cause: an answer with another id is skipped, one without an id was taken for the one that is due.

Change: once an answer on a connection has borne the id of its request, later ones without an id on that connection are skipped as well. A backend server that never sends ids is served as before.

--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -103,6 +103,10 @@
     virtual ~attempt() = default;
     /// Pauses or continues reading the answer.
     virtual void set_reading(bool on) = 0;
+    /// An answer on the attempt's connection bears the id of its request.
+    virtual void note_identified_answer() = 0;
+    /// Whether `note_identified_answer` was called for the connection, by this attempt or earlier.
+    [[nodiscard]] virtual bool identifies_answers() const = 0;
 };
 
 /// The backend server that an attempt is sent to.
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -22,8 +22,8 @@
 bool exchange::on_head(http1::response_head& head)
 {
     const backend_answer answer = services_.read_answer(head);
-    if (!answer.request_id.empty() && answer.request_id != request_.id) {
-        return false; // late second answer to an earlier request on this connection
+    if (!answers_this_request(answer)) {
+        return false;
     }
     if (!answer.wrong_backend) {
         services_.limits.saw(record_.backend, answer.limit);
@@ -57,6 +57,20 @@
     return true;
 }
 
+bool exchange::answers_this_request(const backend_answer& answer) const
+{
+    // An answer that comes late, or once more, answers an earlier request on the connection. A
+    // backend server that names the request in its answers does so in each; bytes that it sends
+    // behind an answer may lack the name.
+    if (answer.request_id.empty()) {
+        return !current_attempt_ || !current_attempt_->identifies_answers();
+    }
+    if (current_attempt_) {
+        current_attempt_->note_identified_answer();
+    }
+    return answer.request_id == request_.id;
+}
+
 void exchange::handle_not_executed(const backend_answer& answer)
 {
     if (answer.wrong_backend) {
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -117,6 +117,36 @@
     BOOST_TEST(it.caller.body == "good");
 }
 
+// Guards against an answer to an earlier request that comes again without its id and passes for the
+// answer to the next request on its connection.
+BOOST_AUTO_TEST_CASE(answer_without_an_id_is_skipped_behind_identified_answers)
+{
+    for (const unsigned status : {200U, 500U, 503U, 421U}) {
+        one_gateway it;
+        it.ask(as_unsafe);
+        it.backends.last().identifies_answers = true; // by the answer before
+        http1::response_head head;
+        head.status = status;
+        head.fields.add("X-Id", "");
+        BOOST_TEST(!it.backends.last().events->on_head(head));
+        BOOST_TEST(!it.caller.ended);
+        it.answer(200, "good");
+        it.complete();
+        BOOST_TEST(it.caller.body == "good");
+    }
+}
+
+// Guards against waiting for another answer if a backend server never names requests.
+BOOST_AUTO_TEST_CASE(answer_without_an_id_is_taken_if_none_had_one)
+{
+    one_gateway it;
+    it.ask(as_unsafe);
+    http1::response_head head;
+    head.status = 200;
+    head.fields.add("X-Id", "");
+    BOOST_TEST(it.backends.last().events->on_head(head));
+}
+
 // Guards against lost, duplicated or partial events when a stream breaks off inside an event: the
 // next backend server resumes after the last complete event.
 BOOST_AUTO_TEST_CASE(stream_resumes_after_its_last_complete_event)
--- a/modules/gateway/tests/fakes.h
+++ b/modules/gateway/tests/fakes.h
@@ -48,6 +48,7 @@
         gateway::attempt_events* events = nullptr;
         bool cancelled = false;
         bool reading = true;
+        bool identifies_answers = false; ///< an earlier answer on its connection bore an id
     };
 
     std::unique_ptr<gateway::attempt> start(const gateway::attempt_target& target, std::string head,
@@ -71,6 +72,8 @@
         handle(const handle&) = delete;
         handle& operator=(const handle&) = delete;
         void set_reading(bool on) override { it_->reading = on; }
+        void note_identified_answer() override { it_->identifies_answers = true; }
+        [[nodiscard]] bool identifies_answers() const override { return it_->identifies_answers; }
 
     private:
         std::shared_ptr<open_attempt> it_;
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -330,9 +330,10 @@
     gateway::buffer_share raised_share_; ///< see `backend_pool_settings::raised_buffers`
     std::uint64_t received_bytes_ = 0;   ///< of the answer
     std::size_t interim_responses_ = 0;
-    std::uint64_t sent_before_ = 0; ///< bytes sent before the request in flight
-    instant begun_at_;              ///< when the request in flight was given to the connection
-    bool reused_ = false;           ///< has carried a request before
+    std::uint64_t sent_before_ = 0;   ///< bytes sent before the request in flight
+    instant begun_at_;                ///< when the request in flight was given to the connection
+    bool reused_ = false;             ///< has carried a request before
+    bool identifies_answers_ = false; ///< see `attempt::identifies_answers`
     bool bodyless_ = false;
     bool head_delivered_ = false;
     bool skipping_ = false;
@@ -362,6 +363,16 @@
             connection_->set_reading(on);
         }
     }
+    void note_identified_answer() override
+    {
+        if (pool_.busy_.contains(connection_) && active()) {
+            connection_->identifies_answers_ = true;
+        }
+    }
+    [[nodiscard]] bool identifies_answers() const override
+    {
+        return pool_.busy_.contains(connection_) && active() && connection_->identifies_answers_;
+    }
 
 private:
     [[nodiscard]] bool active() const { return connection_->events_ != nullptr; }
@@ -384,6 +395,8 @@
     rejected_attempt(const rejected_attempt&) = delete;
     rejected_attempt& operator=(const rejected_attempt&) = delete;
     void set_reading(bool) override {}
+    void note_identified_answer() override {}
+    [[nodiscard]] bool identifies_answers() const override { return false; }
 
 private:
     backend_pool& pool_;
