[gateway] A heartbeat with an unknown service is refused whatever its start time

Cause: the service was checked only for an unknown name or for the start that was known. A record with another start passed, replaced the sound one, and the later heartbeats of the sound backend server were ignored because their start is older.

Change: a record is refused if its service is neither configured nor that of the known record.

--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -136,10 +136,13 @@
         return "address: expected an IPv4 address and a port";
     }
     const auto* const known = directory_.find_named(record.name);
+    // A service that is no longer configured may still have backend servers.
+    const bool same_service = known != nullptr && known->record.service == record.service;
+    if (!same_service && !is_known_service_(record.service)) {
+        return "service: not in the configuration";
+    }
     if (known == nullptr) {
-        return is_known_service_(record.service)
-                   ? std::nullopt
-                   : std::optional<std::string>{"service: not in the configuration"};
+        return std::nullopt;
     }
     if (known->record.born != 0 && record.born == 0) {
         return "start time: missing, but earlier records of this backend server have it";
