[gateway] A first configuration with the version 0 is kept

Cause: the version 0 stood for "none stored", so that the configuration counted as superseded.

Change: the stored text tells whether there is a configuration.

Evidence: first_configuration_may_have_the_version_zero failed before and passes now.

--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -94,7 +94,8 @@
 
 bool control_state::put_config(control_command& command)
 {
-    if (command.config_version <= state_.config_version) {
+    const bool has_config = !state_.config_packed.empty();
+    if (has_config && command.config_version <= state_.config_version) {
         return false;
     }
     state_.config_version = command.config_version;
--- a/modules/gateway/tests/control_state_test.cpp
+++ b/modules/gateway/tests/control_state_test.cpp
@@ -126,6 +126,22 @@
     }
 }
 
+// Guards against a first configuration that is acknowledged and not kept, as its version is 0.
+BOOST_AUTO_TEST_CASE(first_configuration_may_have_the_version_zero)
+{
+    control_command config;
+    config.config_packed = "first";
+    control_state it;
+    BOOST_TEST(apply(it, config) == result_ok);
+    BOOST_TEST(it.state().config_packed == "first");
+    config.config_packed = "other";
+    apply(it, config);
+    BOOST_TEST(it.state().config_packed == "first");
+    config.config_version = 1;
+    apply(it, config);
+    BOOST_TEST(it.state().config_packed == "other");
+}
+
 // Guards against orders of earlier releases, which name no revision, that have no effect.
 BOOST_AUTO_TEST_CASE(order_without_a_known_revision_is_not_checked)
 {
--- a/src/gateway/control_orders.cpp
+++ b/src/gateway/control_orders.cpp
@@ -102,6 +102,7 @@
     }
     const auto decoded = wire::try_decode<gateway::control_command>(command);
     const bool superseded = decoded && decoded->kind == gateway::control_kind::put_config &&
+                            !state_.config_packed.empty() &&
                             decoded->config_version <= state_.config_version;
     if (superseded) {
         // The command has no effect, because the stored version is not lower. A confirmed read
