[gateway] A backend server that refuses one request itself stays in use

Cause: each 421 counted as "another incarnation answers at its address", whoever it came from, and took the backend server out of the directory with a tombstone that its heartbeats don't lift.

Change: a 421 that bears the name of the chosen backend server is a refusal of that request. It counts as an attempt like any other refusal.

--- a/modules/gateway/include/hickorypost/gateway/exchange.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange.h
@@ -290,6 +290,8 @@
     void exclude_tried_backend();
     /// Whether an answer is to this request, and not to another one on the same connection.
     [[nodiscard]] bool answers_this_request(const backend_answer& answer) const;
+    /// Whether another incarnation than the chosen backend server answers at its address.
+    [[nodiscard]] bool is_from_another_backend(const backend_answer& answer) const;
     void handle_not_executed(const backend_answer& answer);
     /// False for statuses that callers take for "not run" if the request must not run twice: the
     /// backend server that answers it has not said that it did not run it.
--- a/modules/gateway/include/hickorypost/gateway/exchange_types.h
+++ b/modules/gateway/include/hickorypost/gateway/exchange_types.h
@@ -53,10 +53,11 @@
 struct backend_answer {
     unsigned status = 0;
     bool ran = true; ///< false: the request did not run on this backend server and never will
-    bool wrong_backend = false;       ///< another incarnation has the address
-    bool signed_body = false;         ///< has the signature; a success without it is not trusted
-    bool encoded = false;             ///< has a Content-Encoding, which no backend server applies
-    std::string request_id;           ///< id of the request that is answered
+    bool misdirected = false; ///< the request is not for the one that answers, which says so
+    std::string backend_name; ///< of the one that answers; empty if it is not named
+    bool signed_body = false; ///< has the signature; a success without it is not trusted
+    bool encoded = false;     ///< has a Content-Encoding, which no backend server applies
+    std::string request_id;   ///< id of the request that is answered
     std::optional<double> confidence; ///< 0 to 1: how sure the model is of its answer
     limit_statement limit;
     backoff_statement backoff;
--- a/modules/gateway/src/exchange_answer.cpp
+++ b/modules/gateway/src/exchange_answer.cpp
@@ -25,7 +25,7 @@
     if (!answers_this_request(answer)) {
         return false;
     }
-    if (!answer.wrong_backend) {
+    if (!is_from_another_backend(answer)) {
         services_.limits.saw(record_.backend, answer.limit);
         services_.answer_seen(record_.backend, answer, request_.id);
     }
@@ -71,19 +71,27 @@
     return answer.request_id == request_.id;
 }
 
+bool exchange::is_from_another_backend(const backend_answer& answer) const
+{
+    // The chosen backend server itself may refuse a request, such as one for an unknown model.
+    return answer.misdirected &&
+           (answer.backend_name.empty() || answer.backend_name != target_.name);
+}
+
 void exchange::handle_not_executed(const backend_answer& answer)
 {
-    if (answer.wrong_backend) {
+    const bool wrong_backend = is_from_another_backend(answer);
+    if (wrong_backend) {
         // Not counted against the route's attempts: the chosen backend server did not get the
         // request.
         ++unsent_attempts_;
         services_.directory.remove(record_.backend, services_.now());
         services_.note(record_, "backend_gone", "another incarnation answers at its address");
     }
-    if (!answer.wrong_backend) {
+    if (!wrong_backend) {
         count_sent_attempt();
     }
-    end_attempt(answer.wrong_backend ? attempt_result::unreachable : attempt_result::refused);
+    end_attempt(wrong_backend ? attempt_result::unreachable : attempt_result::refused);
     resume_or_retry("request not executed by the backend server");
 }
 
--- a/modules/gateway/tests/exchange_test.cpp
+++ b/modules/gateway/tests/exchange_test.cpp
@@ -302,4 +302,25 @@
     BOOST_TEST(it.caller.status == 200U);
 }
 
+// Guards against taking a backend server out of use because it refuses one request as misdirected.
+BOOST_AUTO_TEST_CASE(backend_that_refuses_a_request_itself_stays_in_use)
+{
+    one_gateway it;
+    it.ask([](route_spec& route) { route.max_attempts = 2; });
+    for (int n = 0; n < 2; ++n) {
+        http1::response_head head;
+        head.status = 421;
+        head.fields.add("X-Ran", "0");
+        head.fields.add("X-Name", it.backends.last().target.name);
+        BOOST_TEST(!it.backends.last().target.name.empty());
+        it.backends.last().events->on_head(head);
+    }
+    BOOST_TEST(it.caller.ended);
+    BOOST_TEST(it.caller.status == 503U);
+    BOOST_TEST(it.backends.attempts.size() == 2U);
+    for (const auto* const id : {"b1", "b2", "b3"}) {
+        BOOST_TEST(it.directory.find(id) != nullptr, id);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/gateway/tests/one_gateway.h
+++ b/modules/gateway/tests/one_gateway.h
@@ -184,7 +184,8 @@
             out.backoff = backoff_in_answers;
             out.status = head.status;
             out.ran = head.fields.find("X-Ran") != "0";
-            out.wrong_backend = head.status == 421;
+            out.misdirected = head.status == 421;
+            out.backend_name = head.fields.find("X-Name").value_or("");
             out.signed_body = !head.fields.find("X-Unsigned");
             out.request_id = head.fields.find("X-Id").value_or("q");
             out.confidence = std::stod(std::string{head.fields.find("X-Confidence").value_or("1")});
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -122,7 +122,7 @@
           platform::encode_liveness_probe,
           [this](const std::string& backend) { backend_feed_->report_probe_failure(backend); },
           [this](const std::string& backend, const http1::response_head& head) {
-              if (const auto answer = platform::decode_answer(head); !answer.wrong_backend) {
+              if (const auto answer = platform::decode_answer(head); !answer.misdirected) {
                   on_backend_answer(backend, answer, {});
               }
           }},
