[gateway] An order that other orders keep preceding is reported as not carried out

The log line and the response of the eighth attempt said that the order may still take effect; the control log has refused it.

--- a/modules/gateway/src/control_state.cpp
+++ b/modules/gateway/src/control_state.cpp
@@ -21,8 +21,8 @@
 {
     auto decoded = wire::try_decode<control_command>(command.data);
     if (!decoded) {
-        return std::string{
-            result_unreadable}; // written by a later release; all hosts skip the entry alike
+        // Written by a later release; all hosts skip the entry alike.
+        return std::string{result_unreadable};
     }
     if (is_fulfilled(*decoded)) {
         return std::string{result_ok};
--- a/src/gateway/control_calls.cpp
+++ b/src/gateway/control_calls.cpp
@@ -188,10 +188,15 @@
     const auto command = order.command;
     control_.commit(command, [this, order = std::move(order)](control_plane::order_status status,
                                                               const gateway::site_state*) mutable {
-        if (status == control_plane::order_status::superseded &&
-            order.attempts < max_commit_attempts) {
-            env_.log->info("{}: another order came first, trying again", order.subject);
-            commit_if_awaited(std::move(order));
+        if (status == control_plane::order_status::superseded) {
+            if (order.attempts < max_commit_attempts) {
+                env_.log->info("{}: another order came first, trying again", order.subject);
+                commit_if_awaited(std::move(order));
+                return;
+            }
+            constexpr std::string_view reason = "other orders came first each time";
+            env_.log->info("{} not carried out: {}", order.subject, reason);
+            respond_error(*order.caller, status_unavailable, reason);
             return;
         }
         const bool acknowledged = status == control_plane::order_status::done;
--- a/src/gateway/control_calls.h
+++ b/src/gateway/control_calls.h
@@ -44,7 +44,7 @@
         gateway::control_command command;
         std::string subject; ///< for the log
         std::shared_ptr<gateway::caller_port> caller;
-        unsigned attempts = 0;
+        unsigned attempts = 0; ///< by `commit_if_awaited`
     };
     /// Commits the command, then logs the outcome and responds.
     void commit(operator_order order);
